--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,201 @@
+//! Reads batches of events, hands each to its instance, writes the instances' actions.
+
+mod host;
+mod wire;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::{self, BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use fernscale::interface::{ListNews, Listed, Micros, State};
+use fernscale::policy::Gateway;
+
+use host::{Desk, WireHost};
+use wire::{from_base64, Line, Parsed};
+
+struct Instance {
+    gateway: Gateway<WireHost>,
+    desk: Rc<RefCell<Desk>>,
+    load_names: Vec<String>,
+}
+
+#[derive(Default)]
+struct Process {
+    instances: HashMap<String, Instance>,
+    /// The numbered lists as they stand at this point of the batch.
+    lists: HashMap<u64, Vec<Listed>>,
+    /// The list whose entries are being read, and how many are still to come.
+    filling: Option<(u64, u64)>,
+    now: Micros,
+    turn: String,
+    reply: String,
+}
+
+impl Process {
+    /// Takes one line; true when it closed the batch and the reply is complete.
+    fn line(&mut self, text: &str) -> Parsed<bool> {
+        let line = Line::parse(text)?;
+        if let Some((list, left)) = self.filling {
+            if line.name != "row" {
+                return Err(format!("'{}' where {left} more rows of a list belong", line.name));
+            }
+            self.lists.entry(list).or_default().push(listed(&line)?);
+            self.filling = Some((list, left - 1)).filter(|(_, left)| *left > 0);
+            return Ok(false);
+        }
+        match line.name {
+            "" => {}
+            "begin_batch" => {
+                self.now = line.time("atTimeMs")?;
+                self.turn = line.text("turn")?.to_string();
+            }
+            "your_turn" => {
+                self.reply.push_str(&format!("done turn={}\n", self.turn));
+                return Ok(true);
+            }
+            "directory" => {
+                let (list, entries) = (line.whole("list")?, line.whole_or("membersList", 0)?);
+                self.lists.insert(list, Vec::new());
+                self.filling = Some((list, entries)).filter(|(_, left)| *left > 0);
+            }
+            "born" => self.born(&line)?,
+            "stop" => {
+                self.instances.remove(line.text("who")?);
+            }
+            _ => self.event(&line)?,
+        }
+        Ok(false)
+    }
+
+    fn born(&mut self, line: &Line) -> Parsed<()> {
+        let name = line.text("who")?.to_string();
+        let settings = host::settings(line)?;
+        let names = line.fields.get("telemetry.names").copied().unwrap_or_default();
+        let load_names = names.split(',').filter(|name| !name.is_empty()).map(String::from).collect();
+        let desk = Rc::new(RefCell::new(Desk { now: self.now, ..Desk::default() }));
+        let host = WireHost { name: name.clone(), desk: Rc::clone(&desk) };
+        match catch_unwind(AssertUnwindSafe(|| Gateway::start(settings, host))) {
+            Ok(gateway) => {
+                self.reply.push_str(&std::mem::take(&mut desk.borrow_mut().actions));
+                self.instances.insert(name, Instance { gateway, desk, load_names });
+            }
+            Err(panic) => self.fault(&name, panic),
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, line: &Line) -> Parsed<()> {
+        let name = line.text("who")?;
+        let Some(instance) = self.instances.get_mut(name) else {
+            return Err(format!("no instance '{name}' here"));
+        };
+        instance.desk.borrow_mut().now = self.now;
+        let lists = &self.lists;
+        let done = catch_unwind(AssertUnwindSafe(|| deliver(instance, line, lists)));
+        self.reply.push_str(&std::mem::take(&mut instance.desk.borrow_mut().actions));
+        match done {
+            Ok(parsed) => parsed,
+            Err(panic) => {
+                self.fault(name, panic);
+                Ok(())
+            }
+        }
+    }
+
+    fn fault(&mut self, name: &str, panic: Box<dyn std::any::Any + Send>) {
+        let text = match (panic.downcast_ref::<String>(), panic.downcast_ref::<&str>()) {
+            (Some(text), _) => text,
+            (_, Some(text)) => *text,
+            _ => "panic",
+        };
+        self.reply.push_str(&format!("die who={name} message={}\n", text.replace('\n', " ")));
+    }
+}
+
+fn deliver(instance: &mut Instance, line: &Line, lists: &HashMap<u64, Vec<Listed>>) -> Parsed<()> {
+    let gateway = &mut instance.gateway;
+    match line.name {
+        "ask" => gateway.transaction(line.transaction()?),
+        "flowing" => gateway.flowing(&line.id("tid")?, line.whole("go")? as usize),
+        "returned" => gateway.returned(line.returned(&instance.load_names)?),
+        "dropped" => gateway.dropped(&line.id("tid")?),
+        "reminder" => gateway.alarm(line.text("ctx")?),
+        "probe_done" => gateway.probed(&line.id("server")?, line.outcome()?),
+        "mail" => gateway.told(line.whole("sender")? as u32, &from_base64(line.text("data")?)?),
+        "tally_back" => gateway.counted(
+            line.text("name")?,
+            line.outcome()?,
+            line.number_or("total", 0.0)?,
+            line.time_or("delaySeenMs", 0)?,
+        ),
+        "membership" => {
+            let form = line.text("form")?;
+            if form == "X" {
+                gateway.list(ListNews::Failed);
+                return Ok(());
+            }
+            let list = line.whole("list")?;
+            let entries = lists.get(&list).ok_or_else(|| format!("list {list} was never given"))?;
+            gateway.list(match form {
+                "D" => ListNews::Changes(entries),
+                "F" | "C" => ListNews::Full(entries),
+                other => return Err(format!("'form={other}' is no form of a list")),
+            });
+        }
+        other => return Err(format!("'{other}' is no event")),
+    }
+    Ok(())
+}
+
+fn listed(line: &Line) -> Parsed<Listed> {
+    Ok(Listed {
+        server: line.id("server")?,
+        zone: line.whole_or("regionPart", 0)? as u32,
+        kind: line.whole_or("hw", 0)? as u32,
+        cell: line.whole_or("cluster", 0)? as u32,
+        state: match line.text("condition")? {
+            "in_service" => State::Ready,
+            "terminating" => State::Draining,
+            "terminated" => State::Gone,
+            other => return Err(format!("'condition={other}' is no condition")),
+        },
+        rating: line.number_or("rating", 1.0)?,
+        started: Some(line.time_or("launchedMs", 0)?).filter(|at| *at > 0),
+    })
+}
+
+fn main() -> ExitCode {
+    let mut input = io::stdin().lock();
+    let mut output = io::stdout().lock();
+    let mut process = Process::default();
+    let mut text = String::new();
+    for number in 1u64.. {
+        text.clear();
+        match input.read_line(&mut text) {
+            Ok(0) => break,
+            Ok(_) => {}
+            Err(error) => {
+                eprintln!("line {number} can't be read: {error}");
+                return ExitCode::from(2);
+            }
+        }
+        match process.line(text.trim_end_matches(['\n', '\r'])) {
+            Ok(false) => {}
+            Ok(true) => {
+                let written = output.write_all(process.reply.as_bytes()).and_then(|()| output.flush());
+                if written.is_err() {
+                    return ExitCode::from(1);
+                }
+                process.reply.clear();
+            }
+            Err(why) => {
+                eprintln!("line {number}: {why}: {}", text.trim_end());
+                return ExitCode::from(2);
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
