--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,8 @@
     /// Trips one transaction may make, and whether two of them may be out together.
     pub most_trips: u32,
     pub second_copies: bool,
+    pub may_cancel: bool,
+    pub may_probe: bool,
     /// The longest wait that a nack may advise; 0 where clients hear of none.
     pub longest_wait: Micros,
     pub counter: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,33 +1,802 @@
-//! The decisions. A placeholder that nacks everything, until the mechanism stands.
+//! Every decision of one gateway.
+//!
+//! The caller makes a [`Gateway`] with its settings and a [`Host`], then calls the method named after what
+//! happened: `transaction`, `returned`, `dropped`, `counted`, `list`, `alarm` and so on. The module answers by
+//! calling the host, in order, before the method returns. Types and the host are in `interface.rs`.
 
-use crate::interface::{Host, Id, ListNews, Micros, Outcome, Returned, Settings, Transaction};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::interface::{Group, Host, Id, Kind, ListNews, Listed, Load, Micros, Outcome, Returned, Settings};
+use crate::interface::{State, Transaction};
+
+const SECOND: Micros = 1_000_000;
+/// Between two looks at what is due, µs: short beside any agreed time, long beside the work of one look.
+const TICK: Micros = 10_000;
+/// Answers are given this long before the hard stop, µs: two looks, so that a late one still holds.
+const MARGIN: Micros = 2 * TICK;
+/// The period of the fraction, µs: the shorter, the less of a surge passes, and the more calls are made.
+const PERIOD: Micros = 500_000;
+/// The longest period, µs, to which a crowded counter stretches it: bursts are often this many seconds worth.
+const LONGEST_PERIOD: Micros = 2 * SECOND;
+/// Time that one name of a count stands for, µs: long beside the period, so that few totals begin anew, and
+/// short enough that what a killed gateway left in a count is soon forgotten.
+const SPAN: Micros = 10 * SECOND;
+/// Customers unheard of for this long, µs, are forgotten: any burst has refilled by then.
+const QUIET: Micros = 30 * SECOND;
+/// Units by which a total may miss what this gateway itself knows it to hold, for rounding in the counter.
+const ROUNDING: f64 = 0.01;
+/// Weight of the newest sample in a mean, from 0 to 1: some ten samples count.
+const NEWEST: f64 = 0.1;
+/// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
+const FIRST_CAP: f64 = 4.0;
+const FRESH_CAP: f64 = 1.0;
+/// The most trips in flight at a server: beyond any machine, only to keep the figure finite.
+const MOST_CAP: f64 = 256.0;
+/// Shares of the agreed time: answers under the first let a cap grow, over the second make it shrink.
+const EARLY: f64 = 0.5;
+const LATE: f64 = 0.8;
+/// What a late answer leaves of a cap, a factor: backs off faster than it grew.
+const BACK_OFF: f64 = 0.8;
+/// Share of the caps that only the most important transactions may fill.
+const KEPT_BACK: f64 = 0.4;
+/// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
+const COLD_USE: f64 = 0.5;
+/// First pause of a server after a failure, µs, doubled with each further one, at most this many times.
+const PAUSE: Micros = 500_000;
+const MOST_DOUBLINGS: u32 = 4;
+/// A server silent for this many usual answer times while trips are out is passed over.
+const SILENCE: f64 = 4.0;
+/// Further trips earned by each first one, and the most that may be saved: a small share of the load.
+const FURTHER_SHARE: f64 = 0.2;
+const FURTHER_SAVED: f64 = 10.0;
+/// Age, µs, over which what others had out at a customer is trusted less and less: some answer times.
+const OUT_TRUST: Micros = SECOND;
+
+struct Server {
+    zone: u32,
+    cell: u32,
+    ready: bool,
+    rating: f64,
+    started: Option<Micros>,
+    /// Trips in flight, and the most there may be.
+    out: u32,
+    cap: f64,
+    cut: Micros,
+    /// Answer times beside what is usual for their lanes; 1 is usual.
+    pace: f64,
+    credit: f64,
+    failures: u32,
+    paused_until: Micros,
+    /// Last answer, or the first send since none was out.
+    heard: Micros,
+    /// Sends within the window in which a cold server can be pushed over.
+    sends: VecDeque<Micros>,
+}
+
+struct Customer {
+    plan: usize,
+    /// How many gateways share this customer, and this one's place among them.
+    spread: f64,
+    place: Option<u32>,
+    seen: Micros,
+    store: f64,
+    filled: Micros,
+    fraction: f64,
+    draw: f64,
+    /// Units offered here and not yet added to the count, and the call that is under way.
+    offered: f64,
+    adding: Option<f64>,
+    due: Option<Micros>,
+    span: u64,
+    known: f64,
+    /// Units offered by all within about a period.
+    demand: f64,
+    /// This gateway's part of what all were offered.
+    part: f64,
+    told: Option<Micros>,
+    /// Trips out from here; what the shared count holds of them; what others had out, and when that was so.
+    out: u32,
+    out_added: f64,
+    out_adding: Option<f64>,
+    out_span: u64,
+    out_others: f64,
+    out_told: Option<Micros>,
+    ceiling: f64,
+    ceiling_filled: Micros,
+}
+
+struct Trip {
+    server: Id,
+    sent: Micros,
+    group: Option<u32>,
+    live: bool,
+    may_have_run: bool,
+}
+
+struct Open {
+    customer: Id,
+    lane: usize,
+    units: f64,
+    hard_stop: Micros,
+    trips: Vec<Trip>,
+    answered: bool,
+}
 
 pub struct Gateway<H: Host> {
     host: H,
+    settings: Settings,
+    chance: ChaCha8Rng,
+    born: Micros,
+    servers: BTreeMap<Id, Server>,
+    customers: BTreeMap<Id, Customer>,
+    open: HashMap<Id, Open>,
+    hard_stops: BTreeSet<(Micros, Id)>,
+    posts: BTreeSet<(Micros, Id)>,
+    /// Usual answer time of each lane, µs.
+    usual: Vec<f64>,
+    /// Trips a second that a warm server gets from here, as a slow mean.
+    carried: f64,
+    sent: u32,
+    looked: Micros,
+    period: Micros,
+    further: f64,
+    swept: Micros,
 }
 
 impl<H: Host> Gateway<H> {
-    pub fn start(_settings: Settings, host: H) -> Self {
-        Gateway { host }
+    pub fn start(settings: Settings, mut host: H) -> Self {
+        let born = host.now();
+        host.set_alarm(TICK, "look");
+        if settings.list_on_request.is_some() {
+            host.follow_list(true);
+        }
+        Gateway {
+            chance: ChaCha8Rng::seed_from_u64(settings.seed),
+            born,
+            servers: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            open: HashMap::new(),
+            hard_stops: BTreeSet::new(),
+            posts: BTreeSet::new(),
+            usual: settings.lanes.iter().map(|lane| lane.agreed as f64 / 5.0).collect(),
+            carried: 0.0,
+            sent: 0,
+            looked: born,
+            period: PERIOD,
+            further: FURTHER_SAVED,
+            swept: born,
+            host,
+            settings,
+        }
     }
 
+    /// A client's transaction has come in.
     pub fn transaction(&mut self, arrived: Transaction) {
-        self.host.nack(&arrived.id, 0);
+        let now = self.host.now();
+        if self.open.contains_key(&arrived.id) {
+            return;
+        }
+        let within = self.meter(&arrived, now);
+        let plan = &self.settings.plans[arrived.plan];
+        let value = if within { 1.0 } else { plan.over_worth - plan.over_cost };
+        let wait = self.settings.longest_wait;
+        if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived, now) {
+            return self.host.nack(&arrived.id, wait);
+        }
+        let worth = value * self.worth(arrived.lane, arrived.plan);
+        if self.fill(now) > 1.0 - KEPT_BACK * (1.0 - worth) {
+            return self.host.nack(&arrived.id, wait);
+        }
+        let open = Open {
+            customer: arrived.customer.clone(),
+            lane: arrived.lane,
+            units: arrived.units,
+            hard_stop: now + arrived.left,
+            trips: Vec::new(),
+            answered: false,
+        };
+        let Some(server) = self.pick(&open, now) else {
+            return self.host.nack(&arrived.id, wait);
+        };
+        let customer = self.customers.get_mut(&arrived.customer).expect("metered above");
+        customer.ceiling -= arrived.units;
+        if within {
+            customer.store -= arrived.units;
+        }
+        self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
+        self.hard_stops.insert((open.hard_stop - MARGIN, arrived.id.clone()));
+        self.open.insert(arrived.id.clone(), open);
+        self.send(&arrived.id, server, now);
     }
 
-    pub fn flowing(&mut self, _transaction: &Id, _trip: usize) {}
-
-    pub fn returned(&mut self, _end: Returned) {}
+    /// An answer has begun to stream: it is the client's from here on.
+    pub fn flowing(&mut self, transaction: &Id, trip: usize) {
+        if let Some(open) = self.open.get(transaction) {
+            for other in (0..open.trips.len()).filter(|other| *other != trip && open.trips[*other].live) {
+                if self.settings.may_cancel {
+                    self.host.cancel(transaction, other);
+                }
+            }
+        }
+        self.close(transaction);
+    }
 
-    pub fn dropped(&mut self, _transaction: &Id) {}
+    /// A trip has ended.
+    pub fn returned(&mut self, end: Returned) {
+        let now = self.host.now();
+        let Some(open) = self.open.get_mut(&end.transaction) else { return };
+        let Some(trip) = open.trips.get_mut(end.trip).filter(|trip| trip.live) else { return };
+        trip.live = false;
+        trip.may_have_run = !end.outcome.never_ran();
+        let (customer_id, lane, units) = (open.customer.clone(), open.lane, open.units);
+        let (finished, waiting) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
+        self.learn(&end, lane, now);
+        if let Some(customer) = self.customers.get_mut(&customer_id) {
+            customer.out = customer.out.saturating_sub(1);
+            if let Some(true_units) = end.units.filter(|_| end.outcome == Outcome::Ok) {
+                customer.store -= true_units - units;
+                customer.offered += true_units - units;
+            }
+        }
+        self.post_out(&customer_id, now);
+        if finished {
+            if waiting && self.settings.may_cancel && end.finished {
+                let live = self.open[&end.transaction].trips.iter().enumerate().filter(|(_, trip)| trip.live);
+                live.for_each(|(number, _)| self.host.cancel(&end.transaction, number));
+            }
+            self.close(&end.transaction);
+        } else if !waiting {
+            self.go_on(&end.transaction, now);
+        }
+    }
 
-    pub fn alarm(&mut self, _token: &str) {}
+    /// The client has gone; nothing is owed any more.
+    pub fn dropped(&mut self, transaction: &Id) {
+        let Some(open) = self.open.get(transaction) else { return };
+        if self.settings.may_cancel && !open.answered {
+            let live = open.trips.iter().enumerate().filter(|(_, trip)| trip.live);
+            live.for_each(|(number, _)| self.host.cancel(transaction, number));
+        }
+        self.close(transaction);
+    }
 
-    pub fn list(&mut self, _news: ListNews) {}
+    pub fn alarm(&mut self, _token: &str) {
+        let now = self.host.now();
+        self.host.set_alarm(TICK, "look");
+        while let Some((_, id)) = self.hard_stops.first().filter(|(at, _)| *at <= now).cloned() {
+            self.hard_stops.pop_first();
+            self.expire(&id);
+        }
+        while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
+            self.posts.pop_first();
+            self.post(&id, now);
+        }
+        if now >= self.looked + SECOND {
+            let warm = self.servers.values().filter(|server| server.ready && self.share(server, now) >= 1.0);
+            if let count @ 1.. = warm.count() {
+                let rate = f64::from(self.sent) / count as f64 * SECOND as f64 / (now - self.looked) as f64;
+                self.carried += if self.carried == 0.0 { rate } else { NEWEST * (rate - self.carried) };
+            }
+            (self.looked, self.sent) = (now, 0);
+        }
+        if now >= self.swept + QUIET / 4 {
+            self.swept = now;
+            self.customers.retain(|_, customer| customer.out > 0 || customer.seen + QUIET > now);
+        }
+    }
 
-    pub fn probed(&mut self, _server: &Id, _outcome: Outcome) {}
+    /// The list of servers, or changes to it.
+    pub fn list(&mut self, news: ListNews) {
+        let now = self.host.now();
+        let (full, entries) = match news {
+            ListNews::Full(entries) => (true, entries),
+            ListNews::Changes(entries) => (false, entries),
+            ListNews::Failed => return self.host.follow_list(true),
+        };
+        if full {
+            self.servers.values_mut().for_each(|server| server.ready = false);
+        }
+        for entry in entries {
+            self.enlist(entry, now);
+        }
+    }
 
-    pub fn counted(&mut self, _count: &str, _outcome: Outcome, _total: f64, _took: Micros) {}
+    pub fn probed(&mut self, _server: &Id, _outcome: Outcome, _load: Load) {}
 
     pub fn told(&mut self, _gateway: u32, _data: &[u8]) {}
+
+    /// A call to the shared counter has ended.
+    pub fn counted(&mut self, count: &str, outcome: Outcome, total: f64, _took: Micros) {
+        let now = self.host.now();
+        // A crowded counter gets fewer calls, or it would never catch up.
+        self.period = match outcome {
+            Outcome::Ok => (self.period - self.period / 100).max(PERIOD),
+            _ => (self.period + self.period / 20).min(LONGEST_PERIOD),
+        };
+        let Some((kind, id)) = count.split_once(':') else { return };
+        let Some((id, customer)) =
+            self.customers.get_key_value(id).map(|(id, _)| id.clone()).and_then(|id| {
+                let customer = self.customers.get_mut(&id)?;
+                Some((id, customer))
+            })
+        else {
+            return;
+        };
+        if kind.starts_with('o') {
+            let Some(amount) = customer.out_adding.take() else { return };
+            match outcome {
+                Outcome::Ok => {
+                    // A total below what is out from here was lost; the next call adds it again.
+                    customer.out_added = customer.out_added.min(total.max(0.0));
+                    customer.out_others = total - customer.out_added;
+                    customer.out_told = Some(now);
+                }
+                Outcome::TimedOut => customer.out_told = None,
+                _ => {
+                    customer.out_added -= amount;
+                    customer.out_told = None;
+                }
+            }
+            return self.post_out(&id, now);
+        }
+        let Some(amount) = customer.adding.take() else { return };
+        let plan = &self.settings.plans[customer.plan];
+        let even = 1.0 / customer.spread;
+        let mut others = total - customer.known - amount;
+        // A total without what was known to be in it has been lost: it tells nothing, least of all room.
+        let least = if self.settings.settles { -0.5 * customer.known - ROUNDING } else { -ROUNDING };
+        let lost = outcome == Outcome::Ok && others < least;
+        if outcome != Outcome::Ok || lost {
+            others = amount.max(0.0) * (1.0 / customer.part - 1.0);
+            customer.part += NEWEST * (even - customer.part);
+        }
+        match outcome {
+            Outcome::Ok => customer.known = total,
+            Outcome::TimedOut => customer.known += amount,
+            _ => {}
+        }
+        customer.fill(plan.rate, plan.burst, now);
+        if customer.told.is_none() && outcome == Outcome::Ok {
+            let span_age = (now % SPAN) as f64 / SECOND as f64;
+            customer.store = (plan.burst + plan.rate * span_age - total).min(plan.burst);
+            customer.demand = amount + others.min(amount * (customer.spread - 1.0));
+        } else {
+            let elapsed = now.saturating_sub(customer.told.unwrap_or(self.born)) as f64;
+            let period = self.period as f64;
+            customer.demand = if elapsed < period {
+                customer.demand * (1.0 - elapsed / period) + amount + others
+            } else {
+                (amount + others) * period / elapsed
+            };
+            customer.store -= others.max(0.0) * customer.fraction;
+            if outcome == Outcome::Ok && !lost && amount > 0.0 {
+                let part = amount / (amount + others.max(0.0));
+                customer.part = (customer.part + NEWEST * (part - customer.part)).max(even / 4.0);
+            }
+        }
+        customer.store = customer.store.max(0.0);
+        if outcome == Outcome::Ok {
+            customer.told = Some(now);
+        }
+        customer.fraction = fraction(plan.rate * self.period as f64 / SECOND as f64, customer);
+        if customer.offered != 0.0 && customer.due.is_none() {
+            customer.due = Some(now + self.period);
+            self.posts.insert((now + self.period, id));
+        }
+    }
+
+    // ---- quotas -------------------------------------------------------------------------------------------
+
+    /// Counts what is offered; true if the customer's quota has room for it.
+    fn meter(&mut self, arrived: &Transaction, now: Micros) -> bool {
+        let settings = &self.settings;
+        let plan = &settings.plans[arrived.plan];
+        let chance = &mut self.chance;
+        let (born, me, gateways) = (self.born, settings.me, settings.gateways.max(1));
+        let customer = self.customers.entry(arrived.customer.clone()).or_insert_with(|| {
+            let spread = arrived.spread.clamp(1, gateways);
+            let place = (me + gateways - arrived.first % gateways) % gateways;
+            Customer {
+                plan: arrived.plan,
+                spread: f64::from(spread),
+                place: Some(place).filter(|place| *place < spread),
+                seen: now,
+                // A new customer has its even share until a total is known, and never less than its first.
+                store: (plan.burst / f64::from(spread)).max(arrived.units),
+                filled: now,
+                fraction: 1.0,
+                draw: chance.gen(),
+                offered: 0.0,
+                adding: None,
+                due: None,
+                span: 0,
+                known: 0.0,
+                demand: 0.0,
+                part: 1.0 / f64::from(spread),
+                told: None,
+                out: 0,
+                out_added: 0.0,
+                out_adding: None,
+                out_span: 0,
+                out_others: 0.0,
+                out_told: None,
+                ceiling: 0.0,
+                ceiling_filled: born,
+            }
+        });
+        customer.seen = now;
+        let mut within = true;
+        if plan.most_out > 0 {
+            within &= customer.out_within(plan.most_out, now);
+        }
+        if plan.rate > 0.0 {
+            let shared = if customer.told.is_some() { 1.0 } else { 1.0 / customer.spread };
+            customer.fill(plan.rate * shared, plan.burst, now);
+            customer.offered += arrived.units;
+            let period = self.period as f64 / SECOND as f64;
+            if customer.told.is_some_and(|told| told + self.period < now) {
+                // Nothing was offered for a period, so the last total says nothing of this one.
+                customer.demand = customer.offered;
+                customer.fraction = fraction(plan.rate * period, customer);
+            }
+            // The surge: a part of a period can't use more than the whole store and the period's refill.
+            let room = customer.store + plan.rate * shared * period;
+            within &= arrived.units <= room.max(0.0) + ROUNDING;
+            if within && customer.fraction < 1.0 {
+                customer.draw += customer.fraction;
+                within = customer.draw >= 1.0;
+                customer.draw -= if within { 1.0 } else { 0.0 };
+            }
+            if settings.counter
+                && customer.spread > 1.0
+                && customer.due.is_none()
+                && customer.adding.is_none()
+            {
+                customer.due = Some(now + self.period);
+                self.posts.insert((now + self.period, arrived.customer.clone()));
+            }
+        }
+        within
+    }
+
+    /// Adds what a customer offered to its count.
+    fn post(&mut self, id: &Id, now: Micros) {
+        let Some(customer) = self.customers.get_mut(id) else { return };
+        customer.due = None;
+        if customer.adding.is_some() {
+            return;
+        }
+        let span = now / SPAN;
+        if customer.span != span {
+            (customer.span, customer.known) = (span, 0.0);
+        }
+        customer.adding = Some(customer.offered);
+        self.host.add(&format!("q{span}:{id}"), customer.offered, 2 * SPAN);
+        customer.offered = 0.0;
+    }
+
+    /// Keeps the shared count of a customer's trips out in step with those from here.
+    fn post_out(&mut self, id: &Id, now: Micros) {
+        let Some(customer) = self.customers.get_mut(id) else { return };
+        let capped = self.settings.plans[customer.plan].most_out > 0;
+        if !capped || !self.settings.counter || customer.out_adding.is_some() || customer.spread <= 1.0 {
+            return;
+        }
+        let span = now / SPAN;
+        if customer.out_span != span {
+            (customer.out_span, customer.out_added) = (span, 0.0);
+        }
+        let amount = f64::from(customer.out) - customer.out_added;
+        if amount != 0.0 {
+            customer.out_added += amount;
+            customer.out_adding = Some(amount);
+            self.host.add(&format!("o{span}:{id}"), amount, 2 * SPAN);
+        }
+    }
+
+    /// The hard ceiling, kept alone: this gateway's even share of it, empty at its start, for a gateway that
+    /// was killed may have used it up.
+    fn under_ceiling(&mut self, arrived: &Transaction, now: Micros) -> bool {
+        let Some(ceiling) = self.settings.plans[arrived.plan].ceiling else { return true };
+        let Some(customer) = self.customers.get_mut(&arrived.customer) else { return false };
+        if customer.place.is_none() {
+            return false;
+        }
+        let gained = ceiling.rate * (now - customer.ceiling_filled) as f64 / SECOND as f64;
+        customer.ceiling = (customer.ceiling + gained / customer.spread).min(ceiling.burst / customer.spread);
+        customer.ceiling_filled = now;
+        customer.ceiling >= arrived.units
+    }
+
+    // ---- servers ------------------------------------------------------------------------------------------
+
+    fn enlist(&mut self, entry: &Listed, now: Micros) {
+        let cold = entry.started.is_some_and(|at| now < at + self.settings.warm_up);
+        let cap = if cold { FRESH_CAP } else { FIRST_CAP };
+        let server = self.servers.entry(entry.server.clone()).or_insert(Server {
+            zone: entry.zone,
+            cell: entry.cell,
+            ready: false,
+            rating: entry.rating,
+            started: entry.started,
+            out: 0,
+            cap,
+            cut: 0,
+            pace: 1.0,
+            credit: 0.0,
+            failures: 0,
+            paused_until: 0,
+            heard: now,
+            sends: VecDeque::new(),
+        });
+        if server.started != entry.started {
+            // The same machine, started anew, and cold: what was learnt of it no longer holds.
+            (server.started, server.cap, server.pace) = (entry.started, cap, 1.0);
+            (server.failures, server.paused_until) = (0, 0);
+        }
+        (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
+        server.ready = entry.state == State::Ready;
+    }
+
+    /// The share of its capacity that a server surely has, by the time since its start.
+    fn share(&self, server: &Server, now: Micros) -> f64 {
+        let Some(started) = server.started else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / self.settings.warm_up.max(1) as f64;
+        (self.settings.cold_share + (1.0 - self.settings.cold_share) * age).min(1.0)
+    }
+
+    /// A cold server falls over when all gateways push it; each keeps to its part of what it surely can do.
+    fn withstands(&self, server: &Server, now: Micros) -> bool {
+        let share = self.share(server, now);
+        if share >= 1.0 {
+            return true;
+        }
+        let window = self.settings.fall_window;
+        let recent = server.sends.iter().rev().take_while(|at| **at + window > now).count();
+        let can = share * self.carried * window as f64 / SECOND as f64;
+        ((recent + 1) as f64) <= (COLD_USE * self.settings.fall_multiple * can).max(1.0)
+    }
+
+    fn sound(&self, server: &Server, now: Micros) -> bool {
+        let usual = self.usual.iter().copied().fold(0.0, f64::max);
+        let silent = server.out > 0 && (now - server.heard) as f64 > SILENCE * usual;
+        server.paused_until <= now && !silent
+    }
+
+    /// How far the sound servers' caps are used, from 0 to 1.
+    fn fill(&self, now: Micros) -> f64 {
+        let sound = self.servers.values().filter(|server| server.ready && self.sound(server, now));
+        let (out, cap) = sound.fold((0.0, 0.0), |(out, cap), server| {
+            (out + f64::from(server.out).min(server.cap), cap + server.cap.max(1.0))
+        });
+        if cap > 0.0 {
+            out / cap
+        } else {
+            0.0
+        }
+    }
+
+    /// Importance for the work it takes, from 0 to 1: what the most rewarding transactions have is 1.
+    fn worth(&self, lane: usize, plan: usize) -> f64 {
+        let lane_worth = |lane: usize| self.settings.lanes[lane].importance / self.usual[lane];
+        let best_lane = (0..self.usual.len()).map(lane_worth).fold(0.0, f64::max);
+        let best_plan = self.settings.plans.iter().map(|plan| plan.price).fold(0.0, f64::max);
+        lane_worth(lane) * self.settings.plans[plan].price / (best_lane * best_plan)
+    }
+
+    /// The next server by weighted rotation among those that may have this transaction and have room.
+    fn pick(&mut self, open: &Open, now: Micros) -> Option<Id> {
+        let bound = self.bound_group(open);
+        let fits = |server: &Server, id: &Id| {
+            let group = self.group(open.lane, server);
+            server.ready
+                && bound.is_none_or(|(bound, until)| now < until && group == bound)
+                && f64::from(server.out) < server.cap.max(1.0)
+                && self.withstands(server, now)
+                && !open.trips.iter().any(|trip| trip.server == *id)
+        };
+        let candidates: Vec<&Id> =
+            self.servers.iter().filter(|(id, server)| fits(server, id)).map(|(id, _)| id).collect();
+        let sound: Vec<&Id> =
+            candidates.iter().copied().filter(|id| self.sound(&self.servers[*id], now)).collect();
+        // Where all look ill, the fault is elsewhere and none is cast out.
+        let chosen = if sound.is_empty() { candidates } else { sound };
+        let chosen: Vec<(Id, f64)> = chosen
+            .into_iter()
+            .map(|id| {
+                let server = &self.servers[id];
+                (id.clone(), server.rating.max(0.01) * self.share(server, now) / server.pace)
+            })
+            .collect();
+        let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
+        let mut best: Option<(Id, f64)> = None;
+        for (id, weight) in chosen {
+            let server = self.servers.get_mut(&id).expect("chosen from these");
+            server.credit = (server.credit + weight / sum).min(2.0);
+            if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
+                best = Some((id, server.credit));
+            }
+        }
+        best.map(|(id, _)| id)
+    }
+
+    /// The part of the servers within which a repeat of this lane is dropped.
+    fn group(&self, lane: usize, server: &Server) -> Option<u32> {
+        match self.settings.lanes[lane].kind {
+            Kind::Labelled { group: Group::Zone, .. } => Some(server.zone),
+            Kind::Labelled { group: Group::Cell, .. } => Some(server.cell),
+            _ => None,
+        }
+    }
+
+    /// The group that a labelled transaction is bound to, and until when, once a trip may have run.
+    fn bound_group(&self, open: &Open) -> Option<(Option<u32>, Micros)> {
+        let Kind::Labelled { memory, .. } = self.settings.lanes[open.lane].kind else { return None };
+        let first = open.trips.iter().find(|trip| trip.may_have_run)?;
+        Some((first.group, first.sent + memory))
+    }
+
+    /// What one trip's end tells of its server.
+    fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
+        let agreed = self.settings.lanes[lane].agreed as f64;
+        let Some(server) = self.servers.get_mut(&end.server) else { return };
+        server.out = server.out.saturating_sub(1);
+        if end.outcome != Outcome::NeverSent && end.outcome != Outcome::Cancelled {
+            server.heard = now;
+        }
+        let took = end.took as f64;
+        let late = match end.outcome {
+            Outcome::Ok => {
+                server.failures = 0;
+                server.pace += NEWEST * ((took / self.usual[lane]).min(10.0) - server.pace);
+                server.pace = server.pace.clamp(0.1, 10.0);
+                self.usual[lane] += NEWEST / 5.0 * (took.min(2.0 * agreed) - self.usual[lane]);
+                if took < EARLY * agreed && f64::from(server.out) + 2.0 > server.cap {
+                    server.cap = (server.cap + 1.0 / server.cap.max(1.0)).min(MOST_CAP);
+                }
+                took > LATE * agreed
+            }
+            Outcome::Error | Outcome::Reset | Outcome::NotConnected | Outcome::TimedOut => {
+                let pause = PAUSE << server.failures.min(MOST_DOUBLINGS);
+                server.failures += 1;
+                if server.failures > 1 || end.outcome == Outcome::NotConnected {
+                    server.paused_until = now + pause;
+                }
+                end.outcome == Outcome::TimedOut
+            }
+            Outcome::Full => true,
+            Outcome::Cancelled | Outcome::NeverSent => false,
+        };
+        // Once for what was out together: its lateness has one cause.
+        if late && now > server.cut + end.took.min(SECOND) {
+            server.cap = (server.cap * BACK_OFF).max(1.0);
+            server.cut = now;
+        }
+    }
+
+    // ---- transactions -------------------------------------------------------------------------------------
+
+    fn send(&mut self, id: &Id, to: Id, now: Micros) {
+        let server = &self.servers[&to];
+        let lane = self.open[id].lane;
+        let group = self.group(lane, server);
+        let cold = self.share(server, now) < 1.0;
+        let server = self.servers.get_mut(&to).expect("picked from these");
+        if server.out == 0 {
+            server.heard = now;
+        }
+        server.out += 1;
+        server.credit -= 1.0;
+        if cold {
+            server.sends.push_back(now);
+            while server.sends.front().is_some_and(|at| at + self.settings.fall_window < now) {
+                server.sends.pop_front();
+            }
+        } else {
+            self.sent += 1;
+        }
+        let open = self.open.get_mut(id).expect("open");
+        open.trips.push(Trip { server: to.clone(), sent: now, group, live: true, may_have_run: true });
+        self.host.send(id, &to, open.hard_stop - MARGIN / 2 - now);
+        let customer_id = open.customer.clone();
+        if let Some(customer) = self.customers.get_mut(&customer_id) {
+            customer.out += 1;
+        }
+        self.post_out(&customer_id, now);
+    }
+
+    /// After a trip that did not succeed: another where the lane and the time allow it, else the end.
+    fn go_on(&mut self, id: &Id, now: Micros) {
+        let open = &self.open[id];
+        let repeatable = match self.settings.lanes[open.lane].kind {
+            Kind::Irreversible => !open.trips.iter().any(|trip| trip.may_have_run),
+            _ => true,
+        };
+        let usual = self.usual[open.lane] as Micros;
+        let in_time = now + usual + MARGIN < open.hard_stop;
+        if repeatable
+            && in_time
+            && self.further >= 1.0
+            && (open.trips.len() as u32) < self.settings.most_trips
+        {
+            let open = self.open.remove(id).expect("open");
+            let server = self.pick(&open, now);
+            self.open.insert(id.clone(), open);
+            if let Some(server) = server {
+                self.further -= 1.0;
+                return self.send(id, server, now);
+            }
+        }
+        self.give_up(id);
+    }
+
+    /// The hard stop is near.
+    fn expire(&mut self, id: &Id) {
+        let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
+        if self.settings.may_cancel {
+            let live = open.trips.iter().enumerate().filter(|(_, trip)| trip.live);
+            live.for_each(|(number, _)| self.host.cancel(id, number));
+        }
+        self.give_up(id);
+    }
+
+    /// The final answer to what is given up: a nack where a repeat is harmless, else an abandonment.
+    fn give_up(&mut self, id: &Id) {
+        let Some(open) = self.open.get(id) else { return };
+        let ran = open.trips.iter().any(|trip| trip.may_have_run);
+        let harmless = match self.settings.lanes[open.lane].kind {
+            Kind::Redoable | Kind::Labelled { group: Group::All, .. } => true,
+            Kind::Labelled { .. } | Kind::Irreversible => !ran,
+        };
+        if harmless {
+            self.host.nack(id, self.settings.longest_wait);
+        } else {
+            self.host.abandon(id);
+        }
+        self.close(id);
+    }
+
+    /// Marks a transaction as answered, and forgets it once no trip is out.
+    fn close(&mut self, id: &Id) {
+        let Some(open) = self.open.get_mut(id) else { return };
+        open.answered = true;
+        self.hard_stops.remove(&(open.hard_stop - MARGIN, id.clone()));
+        if !open.trips.iter().any(|trip| trip.live) {
+            self.open.remove(id);
+        }
+    }
+}
+
+impl Customer {
+    fn fill(&mut self, rate: f64, burst: f64, now: Micros) {
+        let gained = rate * (now - self.filled) as f64 / SECOND as f64;
+        self.store = (self.store + gained).min(burst.max(self.store.min(burst)));
+        self.filled = now;
+    }
+
+    /// Whether one more trip keeps to the plan's cap; without word from the counter, to the even share of it.
+    fn out_within(&self, most: u32, now: Micros) -> bool {
+        let own = f64::from(self.out);
+        match self.out_told {
+            Some(told) => {
+                let trust = 1.0 - (now - told) as f64 / OUT_TRUST as f64;
+                own + (self.out_others * trust.max(0.0)).round() < f64::from(most)
+            }
+            None => {
+                let (spread, place) = (self.spread as u32, self.place.unwrap_or(u32::MAX));
+                own < f64::from(most / spread + u32::from(place < most % spread)).max(1.0)
+            }
+        }
+    }
+}
+
+/// The page's fraction: what may pass of what is offered.
+fn fraction(refill: f64, customer: &Customer) -> f64 {
+    if customer.demand <= 0.0 {
+        return 1.0;
+    }
+    ((refill + customer.store) / customer.demand).clamp(0.0, 1.0)
 }
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -95,6 +95,8 @@
             .collect::<Parsed<_>>()?,
         most_trips: line.whole_or("ceilings.sendCap", 1)? as u32,
         second_copies: on("ceilings.secondCopies")?,
+        may_cancel: on("ceilings.cancel")?,
+        may_probe: on("ceilings.probing")?,
         longest_wait: if on("ceilings.retryAfter")? {
             line.time_or("ceilings.maxRetryAfterMs", 0)?
         } else {
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -123,7 +123,10 @@
         "returned" => gateway.returned(line.returned(&instance.load_names)?),
         "dropped" => gateway.dropped(&line.id("tid")?),
         "reminder" => gateway.alarm(line.text("ctx")?),
-        "probe_done" => gateway.probed(&line.id("server")?, line.outcome()?),
+        "probe_done" => {
+            let load = line.load(&instance.load_names)?;
+            gateway.probed(&line.id("server")?, line.outcome()?, load);
+        }
         "mail" => gateway.told(line.whole("sender")? as u32, &from_base64(line.text("data")?)?),
         "tally_back" => gateway.counted(
             line.text("name")?,
