--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,14 +31,17 @@
 /// Weight of the newest sample in a mean, from 0 to 1: some ten samples count.
 const NEWEST: f64 = 0.1;
 /// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
-const FIRST_CAP: f64 = 4.0;
+const FIRST_CAP: f64 = 2.0;
 const FRESH_CAP: f64 = 1.0;
 /// The most trips in flight at a server: beyond any machine, only to keep the figure finite.
 const MOST_CAP: f64 = 256.0;
-/// Shares of the agreed time: answers under the first let a cap grow, over the second make it shrink.
-const EARLY: f64 = 0.5;
-const LATE: f64 = 0.8;
-/// What a late answer leaves of a cap, a factor: backs off faster than it grew.
+/// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: work waits about as
+/// long as it runs, so no core idles and no server is overdriven.
+const STRETCH: f64 = 2.0;
+/// How fast the idle answer time follows a fleet that grows slower, a share for each answer: a mean falls at
+/// once, but may rise only over some hundred answers, or a jam would pass for the usual.
+const RISE: f64 = 0.002;
+/// What a rejection leaves of a cap, a factor.
 const BACK_OFF: f64 = 0.8;
 /// Share of the caps that only the most important transactions may fill.
 const KEPT_BACK: f64 = 0.4;
@@ -135,8 +138,9 @@
     open: HashMap<Id, Open>,
     hard_stops: BTreeSet<(Micros, Id)>,
     posts: BTreeSet<(Micros, Id)>,
-    /// Usual answer time of each lane, µs.
+    /// Answer time of each lane, µs: the mean of late, and what an idle fleet takes.
     usual: Vec<f64>,
+    idle: Vec<f64>,
     /// Trips a second that a warm server gets from here, as a slow mean.
     carried: f64,
     sent: u32,
@@ -162,6 +166,7 @@
             hard_stops: BTreeSet::new(),
             posts: BTreeSet::new(),
             usual: settings.lanes.iter().map(|lane| lane.agreed as f64 / 5.0).collect(),
+            idle: vec![f64::INFINITY; settings.lanes.len()],
             carried: 0.0,
             sent: 0,
             looked: born,
@@ -651,13 +656,16 @@
         let late = match end.outcome {
             Outcome::Ok => {
                 server.failures = 0;
-                server.pace += NEWEST * ((took / self.usual[lane]).min(10.0) - server.pace);
-                server.pace = server.pace.clamp(0.1, 10.0);
                 self.usual[lane] += NEWEST / 5.0 * (took.min(2.0 * agreed) - self.usual[lane]);
-                if took < EARLY * agreed && f64::from(server.out) + 2.0 > server.cap {
-                    server.cap = (server.cap + 1.0 / server.cap.max(1.0)).min(MOST_CAP);
+                let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
+                *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
+                server.pace += NEWEST * ((took / *idle).min(10.0) - server.pace);
+                server.pace = server.pace.clamp(0.1, 10.0);
+                let change = (1.0 - server.pace / STRETCH).max(-1.0) / server.cap;
+                if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
+                    server.cap = (server.cap + change).clamp(1.0, MOST_CAP);
                 }
-                took > LATE * agreed
+                false
             }
             Outcome::Error | Outcome::Reset | Outcome::NotConnected | Outcome::TimedOut => {
                 let pause = PAUSE << server.failures.min(MOST_DOUBLINGS);
