--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,9 +35,9 @@
 const FRESH_CAP: f64 = 1.0;
 /// The most trips in flight at a server: beyond any machine, only to keep the figure finite.
 const MOST_CAP: f64 = 256.0;
-/// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: work waits about as
-/// long as it runs, so no core idles and no server is overdriven.
-const STRETCH: f64 = 2.0;
+/// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: just enough waits
+/// that few cores idle. Servers driven harder may grow slow and stay so.
+const STRETCH: f64 = 1.15;
 /// How fast the idle answer time follows a fleet that grows slower, a share for each answer: a mean falls at
 /// once, but may rise only over some hundred answers, or a jam would pass for the usual.
 const RISE: f64 = 0.002;
