--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,6 +30,10 @@
 const ROUNDING: f64 = 0.01;
 /// Weight of the newest sample in a mean, from 0 to 1: some ten samples count.
 const NEWEST: f64 = 0.1;
+/// Gateways that share one server: with more of them even one trip from each overdrives it. And the fewest
+/// servers that a gateway keeps, so that it rides out the loss of some.
+const SHARED_BY: usize = 3;
+const FEWEST: usize = 8;
 /// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
 const FIRST_CAP: f64 = 2.0;
 const FRESH_CAP: f64 = 1.0;
@@ -62,6 +66,8 @@
     zone: u32,
     cell: u32,
     ready: bool,
+    /// Among those that this gateway uses.
+    mine: bool,
     rating: f64,
     started: Option<Micros>,
     /// Trips in flight, and the most there may be.
@@ -280,7 +286,10 @@
             self.post(&id, now);
         }
         if now >= self.looked + SECOND {
-            let warm = self.servers.values().filter(|server| server.ready && self.share(server, now) >= 1.0);
+            let warm = self
+                .servers
+                .values()
+                .filter(|server| server.ready && server.mine && self.share(server, now) >= 1.0);
             if let count @ 1.. = warm.count() {
                 let rate = f64::from(self.sent) / count as f64 * SECOND as f64 / (now - self.looked) as f64;
                 self.carried += if self.carried == 0.0 { rate } else { NEWEST * (rate - self.carried) };
@@ -307,6 +316,13 @@
         for entry in entries {
             self.enlist(entry, now);
         }
+        // Too many gateways for the servers: each takes every n-th of the sorted list, from its own start.
+        let ready = self.servers.values().filter(|server| server.ready).count();
+        let step = (self.settings.gateways as usize / SHARED_BY).min(ready / FEWEST).max(1);
+        let ready = self.servers.values_mut().filter(|server| server.ready);
+        for (place, server) in ready.enumerate() {
+            server.mine = place % step == self.settings.me as usize % step;
+        }
     }
 
     pub fn probed(&mut self, _server: &Id, _outcome: Outcome, _load: Load) {}
@@ -525,6 +541,7 @@
             zone: entry.zone,
             cell: entry.cell,
             ready: false,
+            mine: false,
             rating: entry.rating,
             started: entry.started,
             out: 0,
@@ -573,7 +590,8 @@
 
     /// How far the sound servers' caps are used, from 0 to 1.
     fn fill(&self, now: Micros) -> f64 {
-        let sound = self.servers.values().filter(|server| server.ready && self.sound(server, now));
+        let sound =
+            self.servers.values().filter(|server| server.ready && server.mine && self.sound(server, now));
         let (out, cap) = sound.fold((0.0, 0.0), |(out, cap), server| {
             (out + f64::from(server.out).min(server.cap), cap + server.cap.max(1.0))
         });
@@ -598,6 +616,7 @@
         let fits = |server: &Server, id: &Id| {
             let group = self.group(open.lane, server);
             server.ready
+                && (server.mine || bound.is_some())
                 && bound.is_none_or(|(bound, until)| now < until && group == bound)
                 && f64::from(server.out) < server.cap.max(1.0)
                 && self.withstands(server, now)
