--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,7 +18,7 @@
 /// Answers are given this long before the hard stop, µs: two looks, so that a late one still holds.
 const MARGIN: Micros = 2 * TICK;
 /// The period of the fraction, µs: the shorter, the less of a surge passes, and the more calls are made.
-const PERIOD: Micros = 500_000;
+const PERIOD: Micros = 200_000;
 /// The longest period, µs, to which a crowded counter stretches it: bursts are often this many seconds worth.
 const LONGEST_PERIOD: Micros = 2 * SECOND;
 /// Time that one name of a count stands for, µs: long beside the period, so that few totals begin anew, and
@@ -464,7 +464,7 @@
                 customer.fraction = fraction(plan.rate * period, customer);
             }
             // The surge: a part of a period can't use more than the whole store and the period's refill.
-            let room = customer.store + plan.rate * shared * period;
+            let room = customer.store;
             within &= arrived.units <= room.max(0.0) + ROUNDING;
             if within && customer.fraction < 1.0 {
                 customer.draw += customer.fraction;
