--- a/src/policy.rs
+++ b/src/policy.rs
@@ -361,7 +361,11 @@
                     customer.out_told = None;
                 }
             }
-            return self.post_out(&id, now);
+            // A counter that turns calls away must not be asked again at once, or it is asked without end.
+            if outcome == Outcome::Ok {
+                self.post_out(&id, now);
+            }
+            return;
         }
         let Some(amount) = customer.adding.take() else { return };
         let plan = &self.settings.plans[customer.plan];
