--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,7 @@
 /// Age, µs, over which what others had out at a customer is trusted less and less: some answer times.
 const OUT_TRUST: Micros = SECOND;
 
+#[derive(Default)]
 struct Server {
     zone: u32,
     cell: u32,
@@ -85,6 +86,7 @@
     sends: VecDeque<Micros>,
 }
 
+#[derive(Default)]
 struct Customer {
     plan: usize,
     /// How many gateways share this customer, and this one's place among them.
@@ -225,13 +227,7 @@
 
     /// An answer has begun to stream: it is the client's from here on.
     pub fn flowing(&mut self, transaction: &Id, trip: usize) {
-        if let Some(open) = self.open.get(transaction) {
-            for other in (0..open.trips.len()).filter(|other| *other != trip && open.trips[*other].live) {
-                if self.settings.may_cancel {
-                    self.host.cancel(transaction, other);
-                }
-            }
-        }
+        self.cancel_others(transaction, Some(trip));
         self.close(transaction);
     }
 
@@ -254,10 +250,7 @@
         }
         self.post_out(&customer_id, now);
         if finished {
-            if waiting && self.settings.may_cancel && end.finished {
-                let live = self.open[&end.transaction].trips.iter().enumerate().filter(|(_, trip)| trip.live);
-                live.for_each(|(number, _)| self.host.cancel(&end.transaction, number));
-            }
+            self.cancel_others(&end.transaction, None);
             self.close(&end.transaction);
         } else if !waiting {
             self.go_on(&end.transaction, now);
@@ -266,11 +259,7 @@
 
     /// The client has gone; nothing is owed any more.
     pub fn dropped(&mut self, transaction: &Id) {
-        let Some(open) = self.open.get(transaction) else { return };
-        if self.settings.may_cancel && !open.answered {
-            let live = open.trips.iter().enumerate().filter(|(_, trip)| trip.live);
-            live.for_each(|(number, _)| self.host.cancel(transaction, number));
-        }
+        self.cancel_others(transaction, None);
         self.close(transaction);
     }
 
@@ -338,14 +327,8 @@
             _ => (self.period + self.period / 20).min(LONGEST_PERIOD),
         };
         let Some((kind, id)) = count.split_once(':') else { return };
-        let Some((id, customer)) =
-            self.customers.get_key_value(id).map(|(id, _)| id.clone()).and_then(|id| {
-                let customer = self.customers.get_mut(&id)?;
-                Some((id, customer))
-            })
-        else {
-            return;
-        };
+        let id = Id::from(id);
+        let Some(customer) = self.customers.get_mut(&id) else { return };
         if kind.starts_with('o') {
             let Some(amount) = customer.out_adding.take() else { return };
             match outcome {
@@ -424,32 +407,19 @@
         let customer = self.customers.entry(arrived.customer.clone()).or_insert_with(|| {
             let spread = arrived.spread.clamp(1, gateways);
             let place = (me + gateways - arrived.first % gateways) % gateways;
+            let even = 1.0 / f64::from(spread);
             Customer {
                 plan: arrived.plan,
                 spread: f64::from(spread),
                 place: Some(place).filter(|place| *place < spread),
-                seen: now,
                 // A new customer has its even share until a total is known, and never less than its first.
-                store: (plan.burst / f64::from(spread)).max(arrived.units),
+                store: (plan.burst * even).max(arrived.units),
                 filled: now,
                 fraction: 1.0,
                 draw: chance.gen(),
-                offered: 0.0,
-                adding: None,
-                due: None,
-                span: 0,
-                known: 0.0,
-                demand: 0.0,
-                part: 1.0 / f64::from(spread),
-                told: None,
-                out: 0,
-                out_added: 0.0,
-                out_adding: None,
-                out_span: 0,
-                out_others: 0.0,
-                out_told: None,
-                ceiling: 0.0,
+                part: even,
                 ceiling_filled: born,
+                ..Customer::default()
             }
         });
         customer.seen = now;
@@ -542,21 +512,11 @@
         let cold = entry.started.is_some_and(|at| now < at + self.settings.warm_up);
         let cap = if cold { FRESH_CAP } else { FIRST_CAP };
         let server = self.servers.entry(entry.server.clone()).or_insert(Server {
-            zone: entry.zone,
-            cell: entry.cell,
-            ready: false,
-            mine: false,
-            rating: entry.rating,
             started: entry.started,
-            out: 0,
             cap,
-            cut: 0,
             pace: 1.0,
-            credit: 0.0,
-            failures: 0,
-            paused_until: 0,
             heard: now,
-            sends: VecDeque::new(),
+            ..Server::default()
         });
         if server.started != entry.started {
             // The same machine, started anew, and cold: what was learnt of it no longer holds.
@@ -766,12 +726,18 @@
 
     /// The hard stop is near.
     fn expire(&mut self, id: &Id) {
-        let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
-        if self.settings.may_cancel {
-            let live = open.trips.iter().enumerate().filter(|(_, trip)| trip.live);
-            live.for_each(|(number, _)| self.host.cancel(id, number));
+        if self.open.get(id).is_some_and(|open| !open.answered) {
+            self.cancel_others(id, None);
+            self.give_up(id);
         }
-        self.give_up(id);
+    }
+
+    /// Ends the trips that nobody waits for any more, where that is allowed.
+    fn cancel_others(&mut self, id: &Id, kept: Option<usize>) {
+        let may = self.settings.may_cancel;
+        let Some(open) = self.open.get(id).filter(|open| may && !open.answered) else { return };
+        let live = open.trips.iter().enumerate().filter(|(number, trip)| trip.live && Some(*number) != kept);
+        live.for_each(|(number, _)| self.host.cancel(id, number));
     }
 
     /// The final answer to what is given up: a nack where a repeat is harmless, else an abandonment.
