--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,8 +75,9 @@
     out: u32,
     cap: f64,
     cut: Micros,
-    /// Answer times beside what is usual for their lanes; 1 is usual.
+    /// Answer times: beside what the lane takes on an idle fleet, and beside what it takes on this one now.
     pace: f64,
+    relative: f64,
     credit: f64,
     failures: u32,
     paused_until: Micros,
@@ -515,12 +516,13 @@
             started: entry.started,
             cap,
             pace: 1.0,
+            relative: 1.0,
             heard: now,
             ..Server::default()
         });
         if server.started != entry.started {
             // The same machine, started anew, and cold: what was learnt of it no longer holds.
-            (server.started, server.cap, server.pace) = (entry.started, cap, 1.0);
+            (server.started, server.cap, server.pace, server.relative) = (entry.started, cap, 1.0, 1.0);
             (server.failures, server.paused_until) = (0, 0);
         }
         (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
@@ -596,7 +598,7 @@
             .into_iter()
             .map(|id| {
                 let server = &self.servers[id];
-                (id.clone(), server.rating.max(0.01) * self.share(server, now) / server.pace)
+                (id.clone(), server.rating.max(0.01) * self.share(server, now) / server.relative)
             })
             .collect();
         let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
@@ -643,8 +645,9 @@
                 let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
                 *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
                 server.pace += NEWEST * ((took / *idle).min(10.0) - server.pace);
-                server.pace = server.pace.clamp(0.1, 10.0);
-                let change = (1.0 - server.pace / STRETCH).max(-1.0) / server.cap;
+                server.relative += NEWEST / 2.0 * ((took / usual).clamp(0.1, 10.0) - server.relative);
+                // A slow machine is not an overdriven one: it is measured by its own speed.
+                let change = (1.0 - server.pace / server.relative / STRETCH).max(-1.0) / server.cap;
                 if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
                     server.cap = (server.cap + change).clamp(1.0, MOST_CAP);
                 }
