Round: short time-outs at servers that lose answers more often than the fleet

It covers any server, link or zone that swallows trips; it may hurt where one server alone gets the heaviest work.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,11 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// A server silent for this many usual answer times while trips are out is passed over.
 const SILENCE: f64 = 4.0;
+/// A server that loses answers more often than this share, and so many times more often than the fleet, has
+/// trips given up after so many idle answer times; elsewhere long work would only be done twice.
+const LOSSY: f64 = 0.02;
+const LOSSIER: f64 = 3.0;
+const LOST: f64 = 7.0;
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
@@ -78,6 +83,8 @@
     /// Answer times: beside what the lane takes on an idle fleet, and beside what it takes on this one now.
     pace: f64,
     relative: f64,
+    /// Share of trips that never came back.
+    lost: f64,
     credit: f64,
     failures: u32,
     paused_until: Micros,
@@ -156,6 +163,7 @@
     looked: Micros,
     period: Micros,
     further: f64,
+    lost: f64,
     swept: Micros,
 }
 
@@ -181,6 +189,7 @@
             looked: born,
             period: PERIOD,
             further: FURTHER_SAVED,
+            lost: 0.0,
             swept: born,
             host,
             settings,
@@ -638,6 +647,13 @@
             server.heard = now;
         }
         let took = end.took as f64;
+        // Only what ran out of time was waited for in vain; a trip cancelled early tells nothing.
+        let overdue = end.outcome == Outcome::Cancelled && took > LOST * self.usual[lane];
+        if overdue || matches!(end.outcome, Outcome::Ok | Outcome::TimedOut) {
+            let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
+            server.lost += NEWEST / 2.0 * (lost - server.lost);
+            self.lost += NEWEST / 20.0 * (lost - self.lost);
+        }
         let late = match end.outcome {
             Outcome::Ok => {
                 server.failures = 0;
@@ -692,9 +708,15 @@
         } else {
             self.sent += 1;
         }
+        // A lost answer would hold its place at the server, and its client, until the hard stop.
+        let lossy = server.lost > LOSSY && server.lost > LOSSIER * self.lost;
+        let lost = (LOST * self.idle[lane].min(self.usual[lane]) * server.relative.max(1.0)) as Micros;
+        let again = self.settings.lanes[lane].kind != Kind::Irreversible && self.further >= 1.0;
         let open = self.open.get_mut(id).expect("open");
+        let left = open.hard_stop - MARGIN / 2 - now;
+        let limit = if lossy && again { left.min(lost) } else { left };
         open.trips.push(Trip { server: to.clone(), sent: now, group, live: true, may_have_run: true });
-        self.host.send(id, &to, open.hard_stop - MARGIN / 2 - now);
+        self.host.send(id, &to, limit);
         let customer_id = open.customer.clone();
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out += 1;
