--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,7 +32,7 @@
 const NEWEST: f64 = 0.1;
 /// Gateways that share one server: with more of them even one trip from each overdrives it. And the fewest
 /// servers that a gateway keeps, so that it rides out the loss of some.
-const SHARED_BY: usize = 3;
+const SHARED_BY: usize = 2;
 const FEWEST: usize = 8;
 /// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
 const FIRST_CAP: f64 = 2.0;
@@ -47,8 +47,12 @@
 const RISE: f64 = 0.002;
 /// What a rejection leaves of a cap, a factor.
 const BACK_OFF: f64 = 0.8;
-/// Share of the caps that only the most important transactions may fill.
-const KEPT_BACK: f64 = 0.4;
+/// Fill of the caps up to which what is beyond its quota, but pays, may be sent on.
+const SPARE: f64 = 0.7;
+/// What may wait here for a place at a server, as a multiple of all caps, and for how long, as a share of the
+/// agreed time: one turn of all places, which evens out chance; more would only be answered late.
+const QUEUE: f64 = 0.5;
+const HOLD: f64 = 0.25;
 /// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
 const COLD_USE: f64 = 0.5;
 /// First pause of a server after a failure, µs, doubled with each further one, at most this many times.
@@ -139,7 +143,12 @@
     customer: Id,
     lane: usize,
     units: f64,
+    within: bool,
+    /// Rank in the queue, the most rewarding first.
+    rank: (i64, u64),
     hard_stop: Micros,
+    /// When something must be done about it at the latest.
+    due: Micros,
     trips: Vec<Trip>,
     answered: bool,
 }
@@ -152,7 +161,9 @@
     servers: BTreeMap<Id, Server>,
     customers: BTreeMap<Id, Customer>,
     open: HashMap<Id, Open>,
-    hard_stops: BTreeSet<(Micros, Id)>,
+    dues: BTreeSet<(Micros, Id)>,
+    waiting: BTreeMap<(i64, u64), Id>,
+    arrivals: u64,
     posts: BTreeSet<(Micros, Id)>,
     /// Answer time of each lane, µs: the mean of late, and what an idle fleet takes.
     usual: Vec<f64>,
@@ -180,7 +191,9 @@
             servers: BTreeMap::new(),
             customers: BTreeMap::new(),
             open: HashMap::new(),
-            hard_stops: BTreeSet::new(),
+            dues: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            arrivals: 0,
             posts: BTreeSet::new(),
             usual: settings.lanes.iter().map(|lane| lane.agreed as f64 / 5.0).collect(),
             idle: vec![f64::INFINITY; settings.lanes.len()],
@@ -209,30 +222,61 @@
         if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived, now) {
             return self.host.nack(&arrived.id, wait);
         }
-        let worth = value * self.worth(arrived.lane, arrived.plan);
-        if self.fill(now) > 1.0 - KEPT_BACK * (1.0 - worth) {
+        let worth = self.worth(arrived.lane, arrived.plan);
+        if !within && (self.fill(now).0 > SPARE || !self.waiting.is_empty()) {
             return self.host.nack(&arrived.id, wait);
         }
+        self.arrivals += 1;
+        let hard_stop = now + arrived.left;
+        let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
+        let due = (now + hold).min(hard_stop - MARGIN);
         let open = Open {
-            customer: arrived.customer.clone(),
+            customer: arrived.customer,
             lane: arrived.lane,
             units: arrived.units,
-            hard_stop: now + arrived.left,
+            within,
+            rank: (-(worth * 1e6) as i64, self.arrivals),
+            hard_stop,
+            due,
             trips: Vec::new(),
             answered: false,
         };
-        let Some(server) = self.pick(&open, now) else {
-            return self.host.nack(&arrived.id, wait);
-        };
-        let customer = self.customers.get_mut(&arrived.customer).expect("metered above");
-        customer.ceiling -= arrived.units;
-        if within {
-            customer.store -= arrived.units;
-        }
-        self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
-        self.hard_stops.insert((open.hard_stop - MARGIN, arrived.id.clone()));
+        self.charge(&open, 1.0);
+        let rank = open.rank;
+        let server = self.pick(&open, now);
         self.open.insert(arrived.id.clone(), open);
-        self.send(&arrived.id, server, now);
+        self.dues.insert((due, arrived.id.clone()));
+        if let Some(server) = server {
+            return self.send(&arrived.id, server, now);
+        }
+        self.waiting.insert(rank, arrived.id);
+        // What can't be served in time is refused at once, the least rewarding first.
+        if self.waiting.len() as f64 > QUEUE * self.fill(now).1 {
+            if let Some((_, last)) = self.waiting.pop_last() {
+                self.give_up(&last);
+            }
+        }
+    }
+
+    /// Takes a transaction's units from its customer, or gives them back.
+    fn charge(&mut self, open: &Open, times: f64) {
+        let Some(customer) = self.customers.get_mut(&open.customer) else { return };
+        customer.ceiling -= times * open.units;
+        if open.within {
+            customer.store -= times * open.units;
+        }
+    }
+
+    /// Sends what waits, the most rewarding first, as far as servers have room.
+    fn serve(&mut self, now: Micros) {
+        while let Some((rank, id)) = self.waiting.first_key_value().map(|(rank, id)| (*rank, id.clone())) {
+            let open = self.open.remove(&id).expect("waiting ones are open");
+            let server = self.pick(&open, now);
+            self.open.insert(id.clone(), open);
+            let Some(server) = server else { return };
+            self.waiting.remove(&rank);
+            self.send(&id, server, now);
+        }
     }
 
     /// An answer has begun to stream: it is the client's from here on.
@@ -265,6 +309,7 @@
         } else if !waiting {
             self.go_on(&end.transaction, now);
         }
+        self.serve(now);
     }
 
     /// The client has gone; nothing is owed any more.
@@ -276,14 +321,15 @@
     pub fn alarm(&mut self, _token: &str) {
         let now = self.host.now();
         self.host.set_alarm(TICK, "look");
-        while let Some((_, id)) = self.hard_stops.first().filter(|(at, _)| *at <= now).cloned() {
-            self.hard_stops.pop_first();
+        while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
+            self.dues.pop_first();
             self.expire(&id);
         }
         while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
             self.posts.pop_first();
             self.post(&id, now);
         }
+        self.serve(now);
         if now >= self.looked + SECOND {
             let warm = self
                 .servers
@@ -563,18 +609,14 @@
         server.paused_until <= now && !silent
     }
 
-    /// How far the sound servers' caps are used, from 0 to 1.
-    fn fill(&self, now: Micros) -> f64 {
+    /// How far the sound servers' caps are used, from 0 to 1, and their sum.
+    fn fill(&self, now: Micros) -> (f64, f64) {
         let sound =
             self.servers.values().filter(|server| server.ready && server.mine && self.sound(server, now));
         let (out, cap) = sound.fold((0.0, 0.0), |(out, cap), server| {
             (out + f64::from(server.out).min(server.cap), cap + server.cap.max(1.0))
         });
-        if cap > 0.0 {
-            out / cap
-        } else {
-            0.0
-        }
+        (if cap > 0.0 { out / cap } else { 0.0 }, cap)
     }
 
     /// Importance for the work it takes, from 0 to 1: what the most rewarding transactions have is 1.
@@ -713,6 +755,12 @@
         let lost = (LOST * self.idle[lane].min(self.usual[lane]) * server.relative.max(1.0)) as Micros;
         let again = self.settings.lanes[lane].kind != Kind::Irreversible && self.further >= 1.0;
         let open = self.open.get_mut(id).expect("open");
+        if open.trips.is_empty() {
+            self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
+            self.dues.remove(&(open.due, id.clone()));
+            open.due = open.hard_stop - MARGIN;
+            self.dues.insert((open.due, id.clone()));
+        }
         let left = open.hard_stop - MARGIN / 2 - now;
         let limit = if lossy && again { left.min(lost) } else { left };
         open.trips.push(Trip { server: to.clone(), sent: now, group, live: true, may_have_run: true });
@@ -773,6 +821,11 @@
             Kind::Redoable | Kind::Labelled { group: Group::All, .. } => true,
             Kind::Labelled { .. } | Kind::Irreversible => !ran,
         };
+        if open.trips.is_empty() {
+            let open = self.open.remove(id).expect("open");
+            self.charge(&open, -1.0);
+            self.open.insert(id.clone(), open);
+        }
         if harmless {
             self.host.nack(id, self.settings.longest_wait);
         } else {
@@ -785,7 +838,8 @@
     fn close(&mut self, id: &Id) {
         let Some(open) = self.open.get_mut(id) else { return };
         open.answered = true;
-        self.hard_stops.remove(&(open.hard_stop - MARGIN, id.clone()));
+        self.dues.remove(&(open.due, id.clone()));
+        self.waiting.remove(&open.rank);
         if !open.trips.iter().any(|trip| trip.live) {
             self.open.remove(id);
         }
