Fold pick, queue and give-up; hold waiting units out of the ceiling's refill

A transaction that waits has taken its part of the ceiling; had the part refilled to its brim meanwhile, both could have left at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,7 +83,6 @@
     /// Trips in flight, and the most there may be.
     out: u32,
     cap: f64,
-    cut: Micros,
     /// Answer times: beside what the lane takes on an idle fleet, and beside what it takes on this one now.
     pace: f64,
     relative: f64,
@@ -127,7 +126,9 @@
     out_span: u64,
     out_others: f64,
     out_told: Option<Micros>,
+    /// What is left of this gateway's part of the ceiling, and units taken from it that still wait here.
     ceiling: f64,
+    held: f64,
     ceiling_filled: Micros,
 }
 
@@ -175,7 +176,8 @@
     period: Micros,
     further: f64,
     lost: f64,
-    swept: Micros,
+    /// The list must be asked for anew.
+    unfollowed: bool,
 }
 
 impl<H: Host> Gateway<H> {
@@ -203,7 +205,7 @@
             period: PERIOD,
             further: FURTHER_SAVED,
             lost: 0.0,
-            swept: born,
+            unfollowed: false,
             host,
             settings,
         }
@@ -227,29 +229,23 @@
             return self.host.nack(&arrived.id, wait);
         }
         self.arrivals += 1;
-        let hard_stop = now + arrived.left;
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
-        let due = (now + hold).min(hard_stop - MARGIN);
         let open = Open {
             customer: arrived.customer,
             lane: arrived.lane,
             units: arrived.units,
             within,
             rank: (-(worth * 1e6) as i64, self.arrivals),
-            hard_stop,
-            due,
+            hard_stop: now + arrived.left,
+            due: now + hold.min(arrived.left - MARGIN),
             trips: Vec::new(),
             answered: false,
         };
         self.charge(&open, 1.0);
-        let rank = open.rank;
-        let server = self.pick(&open, now);
-        self.open.insert(arrived.id.clone(), open);
-        self.dues.insert((due, arrived.id.clone()));
-        if let Some(server) = server {
-            return self.send(&arrived.id, server, now);
-        }
-        self.waiting.insert(rank, arrived.id);
+        self.waiting.insert(open.rank, arrived.id.clone());
+        self.dues.insert((open.due, arrived.id.clone()));
+        self.open.insert(arrived.id, open);
+        self.serve(now);
         // What can't be served in time is refused at once, the least rewarding first.
         if self.waiting.len() as f64 > QUEUE * self.fill(now).1 {
             if let Some((_, last)) = self.waiting.pop_last() {
@@ -258,27 +254,6 @@
         }
     }
 
-    /// Takes a transaction's units from its customer, or gives them back.
-    fn charge(&mut self, open: &Open, times: f64) {
-        let Some(customer) = self.customers.get_mut(&open.customer) else { return };
-        customer.ceiling -= times * open.units;
-        if open.within {
-            customer.store -= times * open.units;
-        }
-    }
-
-    /// Sends what waits, the most rewarding first, as far as servers have room.
-    fn serve(&mut self, now: Micros) {
-        while let Some((rank, id)) = self.waiting.first_key_value().map(|(rank, id)| (*rank, id.clone())) {
-            let open = self.open.remove(&id).expect("waiting ones are open");
-            let server = self.pick(&open, now);
-            self.open.insert(id.clone(), open);
-            let Some(server) = server else { return };
-            self.waiting.remove(&rank);
-            self.send(&id, server, now);
-        }
-    }
-
     /// An answer has begun to stream: it is the client's from here on.
     pub fn flowing(&mut self, transaction: &Id, trip: usize) {
         self.cancel_others(transaction, Some(trip));
@@ -293,7 +268,7 @@
         trip.live = false;
         trip.may_have_run = !end.outcome.never_ran();
         let (customer_id, lane, units) = (open.customer.clone(), open.lane, open.units);
-        let (finished, waiting) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
+        let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
         self.learn(&end, lane, now);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out = customer.out.saturating_sub(1);
@@ -306,7 +281,7 @@
         if finished {
             self.cancel_others(&end.transaction, None);
             self.close(&end.transaction);
-        } else if !waiting {
+        } else if !others {
             self.go_on(&end.transaction, now);
         }
         self.serve(now);
@@ -323,7 +298,8 @@
         self.host.set_alarm(TICK, "look");
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
-            self.expire(&id);
+            self.cancel_others(&id, None);
+            self.give_up(&id);
         }
         while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
             self.posts.pop_first();
@@ -331,19 +307,16 @@
         }
         self.serve(now);
         if now >= self.looked + SECOND {
-            let warm = self
-                .servers
-                .values()
-                .filter(|server| server.ready && server.mine && self.share(server, now) >= 1.0);
-            if let count @ 1.. = warm.count() {
+            let used = self.servers.values().filter(|server| server.ready && server.mine);
+            if let count @ 1.. = used.filter(|server| self.share(server, now) >= 1.0).count() {
                 let rate = f64::from(self.sent) / count as f64 * SECOND as f64 / (now - self.looked) as f64;
                 self.carried += if self.carried == 0.0 { rate } else { NEWEST * (rate - self.carried) };
             }
             (self.looked, self.sent) = (now, 0);
-        }
-        if now >= self.swept + QUIET / 4 {
-            self.swept = now;
             self.customers.retain(|_, customer| customer.out > 0 || customer.seen + QUIET > now);
+            if std::mem::take(&mut self.unfollowed) {
+                self.host.follow_list(true);
+            }
         }
     }
 
@@ -353,7 +326,10 @@
         let (full, entries) = match news {
             ListNews::Full(entries) => (true, entries),
             ListNews::Changes(entries) => (false, entries),
-            ListNews::Failed => return self.host.follow_list(true),
+            ListNews::Failed => {
+                self.unfollowed = true;
+                return;
+            }
         };
         if full {
             self.servers.values_mut().for_each(|server| server.ready = false);
@@ -361,6 +337,7 @@
         for entry in entries {
             self.enlist(entry, now);
         }
+        self.servers.retain(|_, server| server.ready || server.out > 0);
         // Too many gateways for the servers: each takes every n-th of the sorted list, from its own start.
         let ready = self.servers.values().filter(|server| server.ready).count();
         let step = (self.settings.gateways as usize / SHARED_BY).min(ready / FEWEST).max(1);
@@ -387,22 +364,17 @@
         let Some(customer) = self.customers.get_mut(&id) else { return };
         if kind.starts_with('o') {
             let Some(amount) = customer.out_adding.take() else { return };
+            customer.out_told = Some(now).filter(|_| outcome == Outcome::Ok);
             match outcome {
                 Outcome::Ok => {
                     // A total below what is out from here was lost; the next call adds it again.
                     customer.out_added = customer.out_added.min(total.max(0.0));
                     customer.out_others = total - customer.out_added;
-                    customer.out_told = Some(now);
-                }
-                Outcome::TimedOut => customer.out_told = None,
-                _ => {
-                    customer.out_added -= amount;
-                    customer.out_told = None;
+                    self.post_out(&id, now);
                 }
-            }
-            // A counter that turns calls away must not be asked again at once, or it is asked without end.
-            if outcome == Outcome::Ok {
-                self.post_out(&id, now);
+                // A counter that turns calls away must not be asked again at once, or without end.
+                Outcome::TimedOut => {}
+                _ => customer.out_added -= amount,
             }
             return;
         }
@@ -445,7 +417,7 @@
         if outcome == Outcome::Ok {
             customer.told = Some(now);
         }
-        customer.fraction = fraction(plan.rate * self.period as f64 / SECOND as f64, customer);
+        customer.fraction = customer.admit(plan.rate * self.period as f64 / SECOND as f64);
         if customer.offered != 0.0 && customer.due.is_none() {
             customer.due = Some(now + self.period);
             self.posts.insert((now + self.period, id));
@@ -491,11 +463,10 @@
             if customer.told.is_some_and(|told| told + self.period < now) {
                 // Nothing was offered for a period, so the last total says nothing of this one.
                 customer.demand = customer.offered;
-                customer.fraction = fraction(plan.rate * period, customer);
+                customer.fraction = customer.admit(plan.rate * period);
             }
-            // The surge: a part of a period can't use more than the whole store and the period's refill.
-            let room = customer.store;
-            within &= arrived.units <= room.max(0.0) + ROUNDING;
+            // The surge: what comes within a period can't use more than the store.
+            within &= arrived.units <= customer.store + ROUNDING;
             if within && customer.fraction < 1.0 {
                 customer.draw += customer.fraction;
                 within = customer.draw >= 1.0;
@@ -557,7 +528,9 @@
             return false;
         }
         let gained = ceiling.rate * (now - customer.ceiling_filled) as f64 / SECOND as f64;
-        customer.ceiling = (customer.ceiling + gained / customer.spread).min(ceiling.burst / customer.spread);
+        // What waits leaves later: meanwhile its part must not fill up again, or both could leave at once.
+        let most = ceiling.burst / customer.spread - customer.held;
+        customer.ceiling = (customer.ceiling + gained / customer.spread).min(most);
         customer.ceiling_filled = now;
         customer.ceiling >= arrived.units
     }
@@ -628,33 +601,28 @@
     }
 
     /// The next server by weighted rotation among those that may have this transaction and have room.
-    fn pick(&mut self, open: &Open, now: Micros) -> Option<Id> {
-        let bound = self.bound_group(open);
-        let fits = |server: &Server, id: &Id| {
-            let group = self.group(open.lane, server);
+    fn pick(&mut self, lane: usize, trips: &[Trip], now: Micros) -> Option<Id> {
+        let bound = self.bound(lane, trips);
+        let fits = |(id, server): &(&Id, &Server)| {
             server.ready
                 && (server.mine || bound.is_some())
-                && bound.is_none_or(|(bound, until)| now < until && group == bound)
-                && f64::from(server.out) < server.cap.max(1.0)
+                && bound.is_none_or(|(group, until)| now < until && group == self.group(lane, server))
+                && f64::from(server.out) < server.cap
                 && self.withstands(server, now)
-                && !open.trips.iter().any(|trip| trip.server == *id)
+                && !trips.iter().any(|trip| trip.server == **id)
+        };
+        let weigh = |(id, server): (&Id, &Server)| {
+            let works = (1.0 - server.lost).powi(2) * self.share(server, now);
+            (id.clone(), server.rating.max(0.01) * works / server.relative, self.sound(server, now))
         };
-        let candidates: Vec<&Id> =
-            self.servers.iter().filter(|(id, server)| fits(server, id)).map(|(id, _)| id).collect();
-        let sound: Vec<&Id> =
-            candidates.iter().copied().filter(|id| self.sound(&self.servers[*id], now)).collect();
+        let mut chosen: Vec<_> = self.servers.iter().filter(fits).map(weigh).collect();
         // Where all look ill, the fault is elsewhere and none is cast out.
-        let chosen = if sound.is_empty() { candidates } else { sound };
-        let chosen: Vec<(Id, f64)> = chosen
-            .into_iter()
-            .map(|id| {
-                let server = &self.servers[id];
-                (id.clone(), server.rating.max(0.01) * self.share(server, now) / server.relative)
-            })
-            .collect();
-        let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
+        if chosen.iter().any(|(_, _, sound)| *sound) {
+            chosen.retain(|(_, _, sound)| *sound);
+        }
+        let sum: f64 = chosen.iter().map(|(_, weight, _)| weight).sum();
         let mut best: Option<(Id, f64)> = None;
-        for (id, weight) in chosen {
+        for (id, weight, _) in chosen {
             let server = self.servers.get_mut(&id).expect("chosen from these");
             server.credit = (server.credit + weight / sum).min(2.0);
             if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
@@ -674,9 +642,9 @@
     }
 
     /// The group that a labelled transaction is bound to, and until when, once a trip may have run.
-    fn bound_group(&self, open: &Open) -> Option<(Option<u32>, Micros)> {
-        let Kind::Labelled { memory, .. } = self.settings.lanes[open.lane].kind else { return None };
-        let first = open.trips.iter().find(|trip| trip.may_have_run)?;
+    fn bound(&self, lane: usize, trips: &[Trip]) -> Option<(Option<u32>, Micros)> {
+        let Kind::Labelled { memory, .. } = self.settings.lanes[lane].kind else { return None };
+        let first = trips.iter().find(|trip| trip.may_have_run)?;
         Some((first.group, first.sent + memory))
     }
 
@@ -689,14 +657,14 @@
             server.heard = now;
         }
         let took = end.took as f64;
-        // Only what ran out of time was waited for in vain; a trip cancelled early tells nothing.
-        let overdue = end.outcome == Outcome::Cancelled && took > LOST * self.usual[lane];
-        if overdue || matches!(end.outcome, Outcome::Ok | Outcome::TimedOut) {
+        // A trip cancelled early, or turned away, tells nothing of what becomes of those that are taken.
+        let overdue = end.outcome != Outcome::Cancelled || took > LOST * self.usual[lane];
+        if overdue && !matches!(end.outcome, Outcome::Full | Outcome::NeverSent) {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
             server.lost += NEWEST / 2.0 * (lost - server.lost);
             self.lost += NEWEST / 20.0 * (lost - self.lost);
         }
-        let late = match end.outcome {
+        match end.outcome {
             Outcome::Ok => {
                 server.failures = 0;
                 self.usual[lane] += NEWEST / 5.0 * (took.min(2.0 * agreed) - self.usual[lane]);
@@ -709,7 +677,6 @@
                 if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
                     server.cap = (server.cap + change).clamp(1.0, MOST_CAP);
                 }
-                false
             }
             Outcome::Error | Outcome::Reset | Outcome::NotConnected | Outcome::TimedOut => {
                 let pause = PAUSE << server.failures.min(MOST_DOUBLINGS);
@@ -717,20 +684,31 @@
                 if server.failures > 1 || end.outcome == Outcome::NotConnected {
                     server.paused_until = now + pause;
                 }
-                end.outcome == Outcome::TimedOut
             }
-            Outcome::Full => true,
-            Outcome::Cancelled | Outcome::NeverSent => false,
-        };
-        // Once for what was out together: its lateness has one cause.
-        if late && now > server.cut + end.took.min(SECOND) {
-            server.cap = (server.cap * BACK_OFF).max(1.0);
-            server.cut = now;
+            Outcome::Full => server.cap = (server.cap * BACK_OFF).max(1.0),
+            Outcome::Cancelled | Outcome::NeverSent => {}
         }
     }
 
     // ---- transactions -------------------------------------------------------------------------------------
 
+    /// Takes a transaction's units from its customer, or gives them back.
+    fn charge(&mut self, open: &Open, times: f64) {
+        let Some(customer) = self.customers.get_mut(&open.customer) else { return };
+        customer.held += times * open.units;
+        customer.ceiling -= times * open.units;
+        customer.store -= if open.within { times * open.units } else { 0.0 };
+    }
+
+    /// Sends what waits, the most rewarding first, as far as servers have room.
+    fn serve(&mut self, now: Micros) {
+        while let Some((rank, id)) = self.waiting.first_key_value().map(|(rank, id)| (*rank, id.clone())) {
+            let Some(server) = self.pick(self.open[&id].lane, &[], now) else { return };
+            self.waiting.remove(&rank);
+            self.send(&id, server, now);
+        }
+    }
+
     fn send(&mut self, id: &Id, to: Id, now: Micros) {
         let server = &self.servers[&to];
         let lane = self.open[id].lane;
@@ -755,7 +733,8 @@
         let lost = (LOST * self.idle[lane].min(self.usual[lane]) * server.relative.max(1.0)) as Micros;
         let again = self.settings.lanes[lane].kind != Kind::Irreversible && self.further >= 1.0;
         let open = self.open.get_mut(id).expect("open");
-        if open.trips.is_empty() {
+        let (first, units) = (open.trips.is_empty(), open.units);
+        if first {
             self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
             self.dues.remove(&(open.due, id.clone()));
             open.due = open.hard_stop - MARGIN;
@@ -768,27 +747,21 @@
         let customer_id = open.customer.clone();
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out += 1;
+            customer.held -= if first { units } else { 0.0 };
         }
         self.post_out(&customer_id, now);
     }
 
     /// After a trip that did not succeed: another where the lane and the time allow it, else the end.
     fn go_on(&mut self, id: &Id, now: Micros) {
-        let open = &self.open[id];
-        let repeatable = match self.settings.lanes[open.lane].kind {
-            Kind::Irreversible => !open.trips.iter().any(|trip| trip.may_have_run),
-            _ => true,
-        };
-        let usual = self.usual[open.lane] as Micros;
-        let in_time = now + usual + MARGIN < open.hard_stop;
-        if repeatable
-            && in_time
-            && self.further >= 1.0
-            && (open.trips.len() as u32) < self.settings.most_trips
-        {
-            let open = self.open.remove(id).expect("open");
-            let server = self.pick(&open, now);
-            self.open.insert(id.clone(), open);
+        let Some(open) = self.open.get_mut(id) else { return };
+        let ran = open.trips.iter().any(|trip| trip.may_have_run);
+        let may = !ran || self.settings.lanes[open.lane].kind != Kind::Irreversible;
+        let in_time = now + self.usual[open.lane] as Micros + MARGIN < open.hard_stop;
+        if may && in_time && self.further >= 1.0 && open.trips.len() < self.settings.most_trips as usize {
+            let (lane, trips) = (open.lane, std::mem::take(&mut open.trips));
+            let server = self.pick(lane, &trips, now);
+            self.open.get_mut(id).expect("open").trips = trips;
             if let Some(server) = server {
                 self.further -= 1.0;
                 return self.send(id, server, now);
@@ -797,14 +770,6 @@
         self.give_up(id);
     }
 
-    /// The hard stop is near.
-    fn expire(&mut self, id: &Id) {
-        if self.open.get(id).is_some_and(|open| !open.answered) {
-            self.cancel_others(id, None);
-            self.give_up(id);
-        }
-    }
-
     /// Ends the trips that nobody waits for any more, where that is allowed.
     fn cancel_others(&mut self, id: &Id, kept: Option<usize>) {
         let may = self.settings.may_cancel;
@@ -815,17 +780,12 @@
 
     /// The final answer to what is given up: a nack where a repeat is harmless, else an abandonment.
     fn give_up(&mut self, id: &Id) {
-        let Some(open) = self.open.get(id) else { return };
+        let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
         let ran = open.trips.iter().any(|trip| trip.may_have_run);
         let harmless = match self.settings.lanes[open.lane].kind {
             Kind::Redoable | Kind::Labelled { group: Group::All, .. } => true,
             Kind::Labelled { .. } | Kind::Irreversible => !ran,
         };
-        if open.trips.is_empty() {
-            let open = self.open.remove(id).expect("open");
-            self.charge(&open, -1.0);
-            self.open.insert(id.clone(), open);
-        }
         if harmless {
             self.host.nack(id, self.settings.longest_wait);
         } else {
@@ -841,7 +801,10 @@
         self.dues.remove(&(open.due, id.clone()));
         self.waiting.remove(&open.rank);
         if !open.trips.iter().any(|trip| trip.live) {
-            self.open.remove(id);
+            let open = self.open.remove(id).expect("open");
+            if open.trips.is_empty() {
+                self.charge(&open, -1.0);
+            }
         }
     }
 }
@@ -849,7 +812,7 @@
 impl Customer {
     fn fill(&mut self, rate: f64, burst: f64, now: Micros) {
         let gained = rate * (now - self.filled) as f64 / SECOND as f64;
-        self.store = (self.store + gained).min(burst.max(self.store.min(burst)));
+        self.store = (self.store + gained).min(burst);
         self.filled = now;
     }
 
@@ -867,12 +830,13 @@
             }
         }
     }
-}
 
-/// The page's fraction: what may pass of what is offered.
-fn fraction(refill: f64, customer: &Customer) -> f64 {
-    if customer.demand <= 0.0 {
-        return 1.0;
+    /// The page's fraction: what may pass of what is offered.
+    fn admit(&self, refill: f64) -> f64 {
+        if self.demand > 0.0 {
+            ((refill + self.store) / self.demand).clamp(0.0, 1.0)
+        } else {
+            1.0
+        }
     }
-    ((refill + customer.store) / customer.demand).clamp(0.0, 1.0)
 }
