--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,8 +37,6 @@
 /// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
 const FIRST_CAP: f64 = 2.0;
 const FRESH_CAP: f64 = 1.0;
-/// The most trips in flight at a server: beyond any machine, only to keep the figure finite.
-const MOST_CAP: f64 = 256.0;
 /// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: just enough waits
 /// that few cores idle. Servers driven harder may grow slow and stay so.
 const STRETCH: f64 = 1.15;
@@ -111,7 +109,7 @@
     /// Units offered here and not yet added to the count, and the call that is under way.
     offered: f64,
     adding: Option<f64>,
-    due: Option<Micros>,
+    due: bool,
     span: u64,
     known: f64,
     /// Units offered by all within about a period.
@@ -141,9 +139,7 @@
 }
 
 struct Open {
-    customer: Id,
-    lane: usize,
-    units: f64,
+    asked: Transaction,
     within: bool,
     /// Rank in the queue, the most rewarding first.
     rank: (i64, u64),
@@ -230,21 +226,14 @@
         }
         self.arrivals += 1;
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
-        let open = Open {
-            customer: arrived.customer,
-            lane: arrived.lane,
-            units: arrived.units,
-            within,
-            rank: (-(worth * 1e6) as i64, self.arrivals),
-            hard_stop: now + arrived.left,
-            due: now + hold.min(arrived.left - MARGIN),
-            trips: Vec::new(),
-            answered: false,
-        };
-        self.charge(&open, 1.0);
-        self.waiting.insert(open.rank, arrived.id.clone());
-        self.dues.insert((open.due, arrived.id.clone()));
-        self.open.insert(arrived.id, open);
+        let rank = (-(worth * 1e6) as i64, self.arrivals);
+        let (id, hard_stop) = (arrived.id.clone(), now + arrived.left);
+        let due = (now + hold).min(hard_stop - MARGIN);
+        self.charge(&arrived, within, 1.0);
+        self.waiting.insert(rank, id.clone());
+        self.dues.insert((due, id.clone()));
+        let open = Open { asked: arrived, within, rank, hard_stop, due, trips: Vec::new(), answered: false };
+        self.open.insert(id, open);
         self.serve(now);
         // What can't be served in time is refused at once, the least rewarding first.
         if self.waiting.len() as f64 > QUEUE * self.fill(now).1 {
@@ -256,8 +245,7 @@
 
     /// An answer has begun to stream: it is the client's from here on.
     pub fn flowing(&mut self, transaction: &Id, trip: usize) {
-        self.cancel_others(transaction, Some(trip));
-        self.close(transaction);
+        self.close(transaction, Some(trip));
     }
 
     /// A trip has ended.
@@ -267,7 +255,7 @@
         let Some(trip) = open.trips.get_mut(end.trip).filter(|trip| trip.live) else { return };
         trip.live = false;
         trip.may_have_run = !end.outcome.never_ran();
-        let (customer_id, lane, units) = (open.customer.clone(), open.lane, open.units);
+        let (customer_id, lane, units) = (open.asked.customer.clone(), open.asked.lane, open.asked.units);
         let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
         self.learn(&end, lane, now);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
@@ -279,8 +267,7 @@
         }
         self.post_out(&customer_id, now);
         if finished {
-            self.cancel_others(&end.transaction, None);
-            self.close(&end.transaction);
+            self.close(&end.transaction, None);
         } else if !others {
             self.go_on(&end.transaction, now);
         }
@@ -289,8 +276,7 @@
 
     /// The client has gone; nothing is owed any more.
     pub fn dropped(&mut self, transaction: &Id) {
-        self.cancel_others(transaction, None);
-        self.close(transaction);
+        self.close(transaction, None);
     }
 
     pub fn alarm(&mut self, _token: &str) {
@@ -298,7 +284,6 @@
         self.host.set_alarm(TICK, "look");
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
-            self.cancel_others(&id, None);
             self.give_up(&id);
         }
         while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
@@ -380,47 +365,49 @@
         }
         let Some(amount) = customer.adding.take() else { return };
         let plan = &self.settings.plans[customer.plan];
-        let even = 1.0 / customer.spread;
-        let mut others = total - customer.known - amount;
+        customer.fill(plan.rate, plan.burst, now);
         // A total without what was known to be in it has been lost: it tells nothing, least of all room.
-        let least = if self.settings.settles { -0.5 * customer.known - ROUNDING } else { -ROUNDING };
-        let lost = outcome == Outcome::Ok && others < least;
-        if outcome != Outcome::Ok || lost {
-            others = amount.max(0.0) * (1.0 / customer.part - 1.0);
-            customer.part += NEWEST * (even - customer.part);
-        }
+        let least = if self.settings.settles { 0.5 } else { 1.0 } * customer.known + amount - ROUNDING;
+        let heard = outcome == Outcome::Ok && total >= least;
+        let others = match heard {
+            true => total - customer.known - amount,
+            false => amount.max(0.0) * (1.0 / customer.part - 1.0),
+        };
         match outcome {
             Outcome::Ok => customer.known = total,
             Outcome::TimedOut => customer.known += amount,
             _ => {}
         }
-        customer.fill(plan.rate, plan.burst, now);
-        if customer.told.is_none() && outcome == Outcome::Ok {
-            let span_age = (now % SPAN) as f64 / SECOND as f64;
-            customer.store = (plan.burst + plan.rate * span_age - total).min(plan.burst);
-            customer.demand = amount + others.min(amount * (customer.spread - 1.0));
+        let (period, span_age) = (self.period as f64, now % SPAN);
+        let elapsed = customer.told.map_or(span_age, |told| now - told) as f64;
+        customer.demand = customer.demand * (1.0 - elapsed / period).max(0.0)
+            + (amount + others) * (period / elapsed.max(1.0)).min(1.0);
+        if customer.told.is_none() && heard {
+            let since = plan.rate * span_age as f64 / SECOND as f64;
+            customer.store = (plan.burst + since - total).min(plan.burst);
         } else {
-            let elapsed = now.saturating_sub(customer.told.unwrap_or(self.born)) as f64;
-            let period = self.period as f64;
-            customer.demand = if elapsed < period {
-                customer.demand * (1.0 - elapsed / period) + amount + others
-            } else {
-                (amount + others) * period / elapsed
-            };
             customer.store -= others.max(0.0) * customer.fraction;
-            if outcome == Outcome::Ok && !lost && amount > 0.0 {
-                let part = amount / (amount + others.max(0.0));
-                customer.part = (customer.part + NEWEST * (part - customer.part)).max(even / 4.0);
-            }
         }
         customer.store = customer.store.max(0.0);
-        if outcome == Outcome::Ok {
-            customer.told = Some(now);
+        if amount > 0.0 {
+            // Without word from the counter the part ages towards the even share.
+            let even = 1.0 / customer.spread;
+            let part = if heard { amount / (amount + others.max(0.0)) } else { even };
+            customer.part = (customer.part + NEWEST * (part - customer.part)).max(even / 4.0);
         }
-        customer.fraction = customer.admit(plan.rate * self.period as f64 / SECOND as f64);
-        if customer.offered != 0.0 && customer.due.is_none() {
-            customer.due = Some(now + self.period);
-            self.posts.insert((now + self.period, id));
+        customer.told = if outcome == Outcome::Ok { Some(now) } else { customer.told };
+        customer.fraction = customer.admit(plan.rate * period / SECOND as f64);
+        if customer.offered != 0.0 {
+            self.post_later(&id, now);
+        }
+    }
+
+    /// Has a customer's units added to its count a period from now.
+    fn post_later(&mut self, id: &Id, now: Micros) {
+        let Some(customer) = self.customers.get_mut(id) else { return };
+        if self.settings.counter && customer.spread > 1.0 && !customer.due && customer.adding.is_none() {
+            customer.due = true;
+            self.posts.insert((now + self.period, id.clone()));
         }
     }
 
@@ -472,14 +459,7 @@
                 within = customer.draw >= 1.0;
                 customer.draw -= if within { 1.0 } else { 0.0 };
             }
-            if settings.counter
-                && customer.spread > 1.0
-                && customer.due.is_none()
-                && customer.adding.is_none()
-            {
-                customer.due = Some(now + self.period);
-                self.posts.insert((now + self.period, arrived.customer.clone()));
-            }
+            self.post_later(&arrived.customer, now);
         }
         within
     }
@@ -487,10 +467,7 @@
     /// Adds what a customer offered to its count.
     fn post(&mut self, id: &Id, now: Micros) {
         let Some(customer) = self.customers.get_mut(id) else { return };
-        customer.due = None;
-        if customer.adding.is_some() {
-            return;
-        }
+        customer.due = false;
         let span = now / SPAN;
         if customer.span != span {
             (customer.span, customer.known) = (span, 0.0);
@@ -675,7 +652,7 @@
                 // A slow machine is not an overdriven one: it is measured by its own speed.
                 let change = (1.0 - server.pace / server.relative / STRETCH).max(-1.0) / server.cap;
                 if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
-                    server.cap = (server.cap + change).clamp(1.0, MOST_CAP);
+                    server.cap = (server.cap + change).max(1.0);
                 }
             }
             Outcome::Error | Outcome::Reset | Outcome::NotConnected | Outcome::TimedOut => {
@@ -693,17 +670,18 @@
     // ---- transactions -------------------------------------------------------------------------------------
 
     /// Takes a transaction's units from its customer, or gives them back.
-    fn charge(&mut self, open: &Open, times: f64) {
-        let Some(customer) = self.customers.get_mut(&open.customer) else { return };
-        customer.held += times * open.units;
-        customer.ceiling -= times * open.units;
-        customer.store -= if open.within { times * open.units } else { 0.0 };
+    fn charge(&mut self, asked: &Transaction, within: bool, times: f64) {
+        let Some(customer) = self.customers.get_mut(&asked.customer) else { return };
+        let units = times * asked.units;
+        customer.held += units;
+        customer.ceiling -= units;
+        customer.store -= if within { units } else { 0.0 };
     }
 
     /// Sends what waits, the most rewarding first, as far as servers have room.
     fn serve(&mut self, now: Micros) {
         while let Some((rank, id)) = self.waiting.first_key_value().map(|(rank, id)| (*rank, id.clone())) {
-            let Some(server) = self.pick(self.open[&id].lane, &[], now) else { return };
+            let Some(server) = self.pick(self.open[&id].asked.lane, &[], now) else { return };
             self.waiting.remove(&rank);
             self.send(&id, server, now);
         }
@@ -711,7 +689,7 @@
 
     fn send(&mut self, id: &Id, to: Id, now: Micros) {
         let server = &self.servers[&to];
-        let lane = self.open[id].lane;
+        let lane = self.open[id].asked.lane;
         let group = self.group(lane, server);
         let cold = self.share(server, now) < 1.0;
         let server = self.servers.get_mut(&to).expect("picked from these");
@@ -733,7 +711,7 @@
         let lost = (LOST * self.idle[lane].min(self.usual[lane]) * server.relative.max(1.0)) as Micros;
         let again = self.settings.lanes[lane].kind != Kind::Irreversible && self.further >= 1.0;
         let open = self.open.get_mut(id).expect("open");
-        let (first, units) = (open.trips.is_empty(), open.units);
+        let (first, units) = (open.trips.is_empty(), open.asked.units);
         if first {
             self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
             self.dues.remove(&(open.due, id.clone()));
@@ -744,7 +722,7 @@
         let limit = if lossy && again { left.min(lost) } else { left };
         open.trips.push(Trip { server: to.clone(), sent: now, group, live: true, may_have_run: true });
         self.host.send(id, &to, limit);
-        let customer_id = open.customer.clone();
+        let customer_id = open.asked.customer.clone();
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out += 1;
             customer.held -= if first { units } else { 0.0 };
@@ -756,10 +734,10 @@
     fn go_on(&mut self, id: &Id, now: Micros) {
         let Some(open) = self.open.get_mut(id) else { return };
         let ran = open.trips.iter().any(|trip| trip.may_have_run);
-        let may = !ran || self.settings.lanes[open.lane].kind != Kind::Irreversible;
-        let in_time = now + self.usual[open.lane] as Micros + MARGIN < open.hard_stop;
+        let may = !ran || self.settings.lanes[open.asked.lane].kind != Kind::Irreversible;
+        let in_time = now + self.usual[open.asked.lane] as Micros + MARGIN < open.hard_stop;
         if may && in_time && self.further >= 1.0 && open.trips.len() < self.settings.most_trips as usize {
-            let (lane, trips) = (open.lane, std::mem::take(&mut open.trips));
+            let (lane, trips) = (open.asked.lane, std::mem::take(&mut open.trips));
             let server = self.pick(lane, &trips, now);
             self.open.get_mut(id).expect("open").trips = trips;
             if let Some(server) = server {
@@ -770,19 +748,11 @@
         self.give_up(id);
     }
 
-    /// Ends the trips that nobody waits for any more, where that is allowed.
-    fn cancel_others(&mut self, id: &Id, kept: Option<usize>) {
-        let may = self.settings.may_cancel;
-        let Some(open) = self.open.get(id).filter(|open| may && !open.answered) else { return };
-        let live = open.trips.iter().enumerate().filter(|(number, trip)| trip.live && Some(*number) != kept);
-        live.for_each(|(number, _)| self.host.cancel(id, number));
-    }
-
     /// The final answer to what is given up: a nack where a repeat is harmless, else an abandonment.
     fn give_up(&mut self, id: &Id) {
         let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
         let ran = open.trips.iter().any(|trip| trip.may_have_run);
-        let harmless = match self.settings.lanes[open.lane].kind {
+        let harmless = match self.settings.lanes[open.asked.lane].kind {
             Kind::Redoable | Kind::Labelled { group: Group::All, .. } => true,
             Kind::Labelled { .. } | Kind::Irreversible => !ran,
         };
@@ -791,19 +761,26 @@
         } else {
             self.host.abandon(id);
         }
-        self.close(id);
+        self.close(id, None);
     }
 
-    /// Marks a transaction as answered, and forgets it once no trip is out.
-    fn close(&mut self, id: &Id) {
+    /// Marks a transaction as answered, ends trips that nobody waits for, and forgets it once none is out.
+    fn close(&mut self, id: &Id, kept: Option<usize>) {
         let Some(open) = self.open.get_mut(id) else { return };
+        let live = open.trips.iter().enumerate().filter(|(_, trip)| trip.live).map(|(number, _)| number);
+        if self.settings.may_cancel && !open.answered {
+            live.clone()
+                .filter(|number| Some(*number) != kept)
+                .for_each(|number| self.host.cancel(id, number));
+        }
+        let done = live.count() == 0;
         open.answered = true;
         self.dues.remove(&(open.due, id.clone()));
         self.waiting.remove(&open.rank);
-        if !open.trips.iter().any(|trip| trip.live) {
+        if done {
             let open = self.open.remove(id).expect("open");
             if open.trips.is_empty() {
-                self.charge(&open, -1.0);
+                self.charge(&open.asked, open.within, -1.0);
             }
         }
     }
