--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,14 +160,6 @@
     pub started: Option<Micros>,
 }
 
-/// What came from the list of servers.
-#[derive(Clone, Copy, Debug)]
-pub enum ListNews<'a> {
-    Full(&'a [Listed]),
-    Changes(&'a [Listed]),
-    Failed,
-}
-
 /// What the module can do, on behalf of one gateway. Its calls take effect in the order they are made.
 pub trait Host {
     fn now(&self) -> Micros;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,10 +9,14 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::interface::{Group, Host, Id, Kind, ListNews, Listed, Load, Micros, Outcome, Returned, Settings};
-use crate::interface::{State, Transaction};
+use crate::interface::{
+    Group, Host, Id, Kind, Listed, Load, Micros, Outcome, Returned, Settings, State, Transaction,
+};
 
 const SECOND: Micros = 1_000_000;
+/// What the alarms are for: to see what is due, and to ask anew for the list of servers.
+const LOOK: &str = "look";
+const FOLLOW: &str = "follow";
 /// Between two looks at what is due, µs: short beside any agreed time, long beside the work of one look.
 const TICK: Micros = 10_000;
 /// Answers are given this long before the hard stop, µs: two looks, so that a late one still holds.
@@ -141,8 +145,8 @@
 struct Open {
     asked: Transaction,
     within: bool,
-    /// Rank in the queue, the most rewarding first.
-    rank: (i64, u64),
+    /// Place in the queue, the most rewarding first.
+    rank: (i64, Micros, Id),
     hard_stop: Micros,
     /// When something must be done about it at the latest.
     due: Micros,
@@ -159,8 +163,7 @@
     customers: BTreeMap<Id, Customer>,
     open: HashMap<Id, Open>,
     dues: BTreeSet<(Micros, Id)>,
-    waiting: BTreeMap<(i64, u64), Id>,
-    arrivals: u64,
+    waiting: BTreeSet<(i64, Micros, Id)>,
     posts: BTreeSet<(Micros, Id)>,
     /// Answer time of each lane, µs: the mean of late, and what an idle fleet takes.
     usual: Vec<f64>,
@@ -172,14 +175,12 @@
     period: Micros,
     further: f64,
     lost: f64,
-    /// The list must be asked for anew.
-    unfollowed: bool,
 }
 
 impl<H: Host> Gateway<H> {
     pub fn start(settings: Settings, mut host: H) -> Self {
         let born = host.now();
-        host.set_alarm(TICK, "look");
+        host.set_alarm(TICK, LOOK);
         if settings.list_on_request.is_some() {
             host.follow_list(true);
         }
@@ -190,8 +191,7 @@
             customers: BTreeMap::new(),
             open: HashMap::new(),
             dues: BTreeSet::new(),
-            waiting: BTreeMap::new(),
-            arrivals: 0,
+            waiting: BTreeSet::new(),
             posts: BTreeSet::new(),
             usual: settings.lanes.iter().map(|lane| lane.agreed as f64 / 5.0).collect(),
             idle: vec![f64::INFINITY; settings.lanes.len()],
@@ -201,7 +201,6 @@
             period: PERIOD,
             further: FURTHER_SAVED,
             lost: 0.0,
-            unfollowed: false,
             host,
             settings,
         }
@@ -220,24 +219,22 @@
         if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived, now) {
             return self.host.nack(&arrived.id, wait);
         }
-        let worth = self.worth(arrived.lane, arrived.plan);
         if !within && (self.fill(now).0 > SPARE || !self.waiting.is_empty()) {
             return self.host.nack(&arrived.id, wait);
         }
-        self.arrivals += 1;
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
-        let rank = (-(worth * 1e6) as i64, self.arrivals);
         let (id, hard_stop) = (arrived.id.clone(), now + arrived.left);
+        let rank = (-(self.worth(arrived.lane, arrived.plan) * 1e6) as i64, now, id.clone());
         let due = (now + hold).min(hard_stop - MARGIN);
         self.charge(&arrived, within, 1.0);
-        self.waiting.insert(rank, id.clone());
+        self.waiting.insert(rank.clone());
         self.dues.insert((due, id.clone()));
         let open = Open { asked: arrived, within, rank, hard_stop, due, trips: Vec::new(), answered: false };
         self.open.insert(id, open);
         self.serve(now);
         // What can't be served in time is refused at once, the least rewarding first.
         if self.waiting.len() as f64 > QUEUE * self.fill(now).1 {
-            if let Some((_, last)) = self.waiting.pop_last() {
+            if let Some((_, _, last)) = self.waiting.pop_last() {
                 self.give_up(&last);
             }
         }
@@ -279,9 +276,12 @@
         self.close(transaction, None);
     }
 
-    pub fn alarm(&mut self, _token: &str) {
+    pub fn alarm(&mut self, token: &str) {
+        if token == FOLLOW {
+            return self.host.follow_list(true);
+        }
         let now = self.host.now();
-        self.host.set_alarm(TICK, "look");
+        self.host.set_alarm(TICK, LOOK);
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
             self.give_up(&id);
@@ -299,23 +299,12 @@
             }
             (self.looked, self.sent) = (now, 0);
             self.customers.retain(|_, customer| customer.out > 0 || customer.seen + QUIET > now);
-            if std::mem::take(&mut self.unfollowed) {
-                self.host.follow_list(true);
-            }
         }
     }
 
-    /// The list of servers, or changes to it.
-    pub fn list(&mut self, news: ListNews) {
+    /// The whole list of servers, or changes to it.
+    pub fn list(&mut self, full: bool, entries: &[Listed]) {
         let now = self.host.now();
-        let (full, entries) = match news {
-            ListNews::Full(entries) => (true, entries),
-            ListNews::Changes(entries) => (false, entries),
-            ListNews::Failed => {
-                self.unfollowed = true;
-                return;
-            }
-        };
         if full {
             self.servers.values_mut().for_each(|server| server.ready = false);
         }
@@ -332,6 +321,11 @@
         }
     }
 
+    /// The list could not be had, or follows no longer.
+    pub fn list_failed(&mut self) {
+        self.host.set_alarm(SECOND, FOLLOW);
+    }
+
     pub fn probed(&mut self, _server: &Id, _outcome: Outcome, _load: Load) {}
 
     pub fn told(&mut self, _gateway: u32, _data: &[u8]) {}
@@ -411,8 +405,6 @@
         }
     }
 
-    // ---- quotas -------------------------------------------------------------------------------------------
-
     /// Counts what is offered; true if the customer's quota has room for it.
     fn meter(&mut self, arrived: &Transaction, now: Micros) -> bool {
         let settings = &self.settings;
@@ -512,8 +504,6 @@
         customer.ceiling >= arrived.units
     }
 
-    // ---- servers ------------------------------------------------------------------------------------------
-
     fn enlist(&mut self, entry: &Listed, now: Micros) {
         let cold = entry.started.is_some_and(|at| now < at + self.settings.warm_up);
         let cap = if cold { FRESH_CAP } else { FIRST_CAP };
@@ -667,8 +657,6 @@
         }
     }
 
-    // ---- transactions -------------------------------------------------------------------------------------
-
     /// Takes a transaction's units from its customer, or gives them back.
     fn charge(&mut self, asked: &Transaction, within: bool, times: f64) {
         let Some(customer) = self.customers.get_mut(&asked.customer) else { return };
@@ -680,9 +668,9 @@
 
     /// Sends what waits, the most rewarding first, as far as servers have room.
     fn serve(&mut self, now: Micros) {
-        while let Some((rank, id)) = self.waiting.first_key_value().map(|(rank, id)| (*rank, id.clone())) {
+        while let Some((_, _, id)) = self.waiting.first().cloned() {
             let Some(server) = self.pick(self.open[&id].asked.lane, &[], now) else { return };
-            self.waiting.remove(&rank);
+            self.waiting.pop_first();
             self.send(&id, server, now);
         }
     }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use fernscale::interface::{ListNews, Listed, Micros, State};
+use fernscale::interface::{Listed, Micros, State};
 use fernscale::policy::Gateway;
 
 use host::{Desk, WireHost};
@@ -137,16 +137,16 @@
         "membership" => {
             let form = line.text("form")?;
             if form == "X" {
-                gateway.list(ListNews::Failed);
+                gateway.list_failed();
                 return Ok(());
             }
             let list = line.whole("list")?;
             let entries = lists.get(&list).ok_or_else(|| format!("list {list} was never given"))?;
-            gateway.list(match form {
-                "D" => ListNews::Changes(entries),
-                "F" | "C" => ListNews::Full(entries),
+            match form {
+                "D" => gateway.list(false, entries),
+                "F" | "C" => gateway.list(true, entries),
                 other => return Err(format!("'form={other}' is no form of a list")),
-            });
+            }
         }
         other => return Err(format!("'{other}' is no event")),
     }
