--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,8 +60,6 @@
 /// First pause of a server after a failure, µs, doubled with each further one, at most this many times.
 const PAUSE: Micros = 500_000;
 const MOST_DOUBLINGS: u32 = 4;
-/// A server silent for this many usual answer times while trips are out is passed over.
-const SILENCE: f64 = 4.0;
 /// A server that loses answers more often than this share, and so many times more often than the fleet, has
 /// trips given up after so many idle answer times; elsewhere long work would only be done twice.
 const LOSSY: f64 = 0.02;
@@ -93,8 +91,6 @@
     credit: f64,
     failures: u32,
     paused_until: Micros,
-    /// Last answer, or the first send since none was out.
-    heard: Micros,
     /// Sends within the window in which a cold server can be pushed over.
     sends: VecDeque<Micros>,
 }
@@ -512,7 +508,6 @@
             cap,
             pace: 1.0,
             relative: 1.0,
-            heard: now,
             ..Server::default()
         });
         if server.started != entry.started {
@@ -543,16 +538,10 @@
         ((recent + 1) as f64) <= (COLD_USE * self.settings.fall_multiple * can).max(1.0)
     }
 
-    fn sound(&self, server: &Server, now: Micros) -> bool {
-        let usual = self.usual.iter().copied().fold(0.0, f64::max);
-        let silent = server.out > 0 && (now - server.heard) as f64 > SILENCE * usual;
-        server.paused_until <= now && !silent
-    }
-
     /// How far the sound servers' caps are used, from 0 to 1, and their sum.
     fn fill(&self, now: Micros) -> (f64, f64) {
         let sound =
-            self.servers.values().filter(|server| server.ready && server.mine && self.sound(server, now));
+            self.servers.values().filter(|server| server.ready && server.mine && server.paused_until <= now);
         let (out, cap) = sound.fold((0.0, 0.0), |(out, cap), server| {
             (out + f64::from(server.out).min(server.cap), cap + server.cap.max(1.0))
         });
@@ -580,7 +569,7 @@
         };
         let weigh = |(id, server): (&Id, &Server)| {
             let works = (1.0 - server.lost).powi(2) * self.share(server, now);
-            (id.clone(), server.rating.max(0.01) * works / server.relative, self.sound(server, now))
+            (id.clone(), server.rating.max(0.01) * works / server.relative, server.paused_until <= now)
         };
         let mut chosen: Vec<_> = self.servers.iter().filter(fits).map(weigh).collect();
         // Where all look ill, the fault is elsewhere and none is cast out.
@@ -620,9 +609,6 @@
         let agreed = self.settings.lanes[lane].agreed as f64;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
-        if end.outcome != Outcome::NeverSent && end.outcome != Outcome::Cancelled {
-            server.heard = now;
-        }
         let took = end.took as f64;
         // A trip cancelled early, or turned away, tells nothing of what becomes of those that are taken.
         let overdue = end.outcome != Outcome::Cancelled || took > LOST * self.usual[lane];
@@ -681,9 +667,6 @@
         let group = self.group(lane, server);
         let cold = self.share(server, now) < 1.0;
         let server = self.servers.get_mut(&to).expect("picked from these");
-        if server.out == 0 {
-            server.heard = now;
-        }
         server.out += 1;
         server.credit -= 1.0;
         if cold {
