--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,9 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::interface::{
-    Group, Host, Id, Kind, Listed, Load, Micros, Outcome, Returned, Settings, State, Transaction,
-};
+use crate::interface::{Ceiling, Group, Host, Id, Kind, Listed, Load, Micros, Outcome, Plan};
+use crate::interface::{Returned, Settings, State, Transaction};
 
 const SECOND: Micros = 1_000_000;
 /// What the alarms are for: to see what is due, and to ask anew for the list of servers.
@@ -127,7 +126,6 @@
     /// What is left of this gateway's part of the ceiling, and units taken from it that still wait here.
     ceiling: f64,
     held: f64,
-    ceiling_filled: Micros,
 }
 
 struct Trip {
@@ -212,7 +210,7 @@
         let plan = &self.settings.plans[arrived.plan];
         let value = if within { 1.0 } else { plan.over_worth - plan.over_cost };
         let wait = self.settings.longest_wait;
-        if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived, now) {
+        if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived) {
             return self.host.nack(&arrived.id, wait);
         }
         if !within && (self.fill(now).0 > SPARE || !self.waiting.is_empty()) {
@@ -294,7 +292,13 @@
                 self.carried += if self.carried == 0.0 { rate } else { NEWEST * (rate - self.carried) };
             }
             (self.looked, self.sent) = (now, 0);
-            self.customers.retain(|_, customer| customer.out > 0 || customer.seen + QUIET > now);
+            let plans = &self.settings.plans;
+            self.customers.retain(|_, customer| {
+                // Forgotten sooner, a part of a ceiling would come back full before its time.
+                let ceiling = plans[customer.plan].ceiling.unwrap_or_default();
+                let refill = (ceiling.burst / ceiling.rate.max(1e-3)) as Micros * SECOND;
+                customer.out > 0 || customer.seen + QUIET.max(refill) > now
+            });
         }
     }
 
@@ -355,7 +359,7 @@
         }
         let Some(amount) = customer.adding.take() else { return };
         let plan = &self.settings.plans[customer.plan];
-        customer.fill(plan.rate, plan.burst, now);
+        customer.fill(plan, now);
         // A total without what was known to be in it has been lost: it tells nothing, least of all room.
         let least = if self.settings.settles { 0.5 } else { 1.0 } * customer.known + amount - ROUNDING;
         let heard = outcome == Outcome::Ok && total >= least;
@@ -406,7 +410,7 @@
         let settings = &self.settings;
         let plan = &settings.plans[arrived.plan];
         let chance = &mut self.chance;
-        let (born, me, gateways) = (self.born, settings.me, settings.gateways.max(1));
+        let (age, me, gateways) = (now - self.born, settings.me, settings.gateways.max(1));
         let customer = self.customers.entry(arrived.customer.clone()).or_insert_with(|| {
             let spread = arrived.spread.clamp(1, gateways);
             let place = (me + gateways - arrived.first % gateways) % gateways;
@@ -421,18 +425,19 @@
                 fraction: 1.0,
                 draw: chance.gen(),
                 part: even,
-                ceiling_filled: born,
+                // Kept alone, by the even part, which is empty at a gateway's start: one that was killed may have
+                // used it up.
+                ceiling: plan.ceiling.map_or(0.0, |ceiling| ceiling.rate * even * age as f64 / SECOND as f64),
                 ..Customer::default()
             }
         });
         customer.seen = now;
+        customer.fill(plan, now);
         let mut within = true;
         if plan.most_out > 0 {
             within &= customer.out_within(plan.most_out, now);
         }
         if plan.rate > 0.0 {
-            let shared = if customer.told.is_some() { 1.0 } else { 1.0 / customer.spread };
-            customer.fill(plan.rate * shared, plan.burst, now);
             customer.offered += arrived.units;
             let period = self.period as f64 / SECOND as f64;
             if customer.told.is_some_and(|told| told + self.period < now) {
@@ -484,20 +489,11 @@
         }
     }
 
-    /// The hard ceiling, kept alone: this gateway's even share of it, empty at its start, for a gateway that
-    /// was killed may have used it up.
-    fn under_ceiling(&mut self, arrived: &Transaction, now: Micros) -> bool {
-        let Some(ceiling) = self.settings.plans[arrived.plan].ceiling else { return true };
-        let Some(customer) = self.customers.get_mut(&arrived.customer) else { return false };
-        if customer.place.is_none() {
-            return false;
-        }
-        let gained = ceiling.rate * (now - customer.ceiling_filled) as f64 / SECOND as f64;
-        // What waits leaves later: meanwhile its part must not fill up again, or both could leave at once.
-        let most = ceiling.burst / customer.spread - customer.held;
-        customer.ceiling = (customer.ceiling + gained / customer.spread).min(most);
-        customer.ceiling_filled = now;
-        customer.ceiling >= arrived.units
+    /// Whether the hard ceiling has room, in this gateway's even part of it.
+    fn under_ceiling(&self, arrived: &Transaction) -> bool {
+        let customer = &self.customers[&arrived.customer];
+        let part = customer.place.is_some() && customer.ceiling >= arrived.units;
+        part || self.settings.plans[arrived.plan].ceiling.is_none()
     }
 
     fn enlist(&mut self, entry: &Listed, now: Micros) {
@@ -695,6 +691,7 @@
         self.host.send(id, &to, limit);
         let customer_id = open.asked.customer.clone();
         if let Some(customer) = self.customers.get_mut(&customer_id) {
+            customer.fill(&self.settings.plans[customer.plan], now);
             customer.out += 1;
             customer.held -= if first { units } else { 0.0 };
         }
@@ -758,9 +755,16 @@
 }
 
 impl Customer {
-    fn fill(&mut self, rate: f64, burst: f64, now: Micros) {
-        let gained = rate * (now - self.filled) as f64 / SECOND as f64;
-        self.store = (self.store + gained).min(burst);
+    /// Lets the store and the part of the ceiling refill up to now.
+    fn fill(&mut self, plan: &Plan, now: Micros) {
+        let time = (now - self.filled) as f64 / SECOND as f64;
+        let shared = if self.told.is_some() { 1.0 } else { 1.0 / self.spread };
+        self.store = (self.store + plan.rate * shared * time).min(plan.burst);
+        if let Some(Ceiling { rate, burst }) = plan.ceiling {
+            // What waits leaves later: meanwhile its part must not fill up again, or both could leave at once.
+            let most = burst / self.spread - self.held;
+            self.ceiling = (self.ceiling + rate / self.spread * time).min(most);
+        }
         self.filled = now;
     }
 
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,189 @@
+//! A host that writes down what the module does, and short ways to tell the module what happened.
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use fernscale::interface::*;
+use fernscale::policy::Gateway;
+
+pub const MS: Micros = 1_000;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Did {
+    Send(Id, Id, Micros),
+    Cancel(Id, usize),
+    Nack(Id, Micros),
+    Abandon(Id),
+    Alarm(Micros, String),
+    Add(String, f64),
+    Follow(bool),
+}
+
+#[derive(Default)]
+pub struct Desk {
+    pub now: Micros,
+    pub did: Vec<Did>,
+}
+
+#[derive(Clone, Default)]
+pub struct Notes(pub Rc<RefCell<Desk>>);
+
+impl Notes {
+    fn note(&self, did: Did) {
+        self.0.borrow_mut().did.push(did);
+    }
+}
+
+impl Host for Notes {
+    fn now(&self) -> Micros {
+        self.0.borrow().now
+    }
+    fn send(&mut self, transaction: &Id, server: &Id, limit: Micros) {
+        self.note(Did::Send(transaction.clone(), server.clone(), limit));
+    }
+    fn cancel(&mut self, transaction: &Id, trip: usize) {
+        self.note(Did::Cancel(transaction.clone(), trip));
+    }
+    fn nack(&mut self, transaction: &Id, wait: Micros) {
+        self.note(Did::Nack(transaction.clone(), wait));
+    }
+    fn abandon(&mut self, transaction: &Id) {
+        self.note(Did::Abandon(transaction.clone()));
+    }
+    fn set_alarm(&mut self, delay: Micros, token: &str) {
+        self.note(Did::Alarm(delay, token.into()));
+    }
+    fn probe(&mut self, _server: &Id) {}
+    fn close_idle(&mut self, _server: &Id) {}
+    fn add(&mut self, count: &str, amount: f64, _life: Micros) {
+        self.note(Did::Add(count.into(), amount));
+    }
+    fn follow_list(&mut self, on: bool) {
+        self.note(Did::Follow(on));
+    }
+    fn fetch_list(&mut self) {}
+    fn tell(&mut self, _gateway: Option<u32>, _data: &[u8]) {}
+    fn report(&mut self, _text: &str) {}
+}
+
+/// One gateway under test.
+pub struct Bed {
+    pub notes: Notes,
+    pub gateway: Gateway<Notes>,
+    asked: usize,
+}
+
+pub fn id(text: impl AsRef<str>) -> Id {
+    Id::from(text.as_ref())
+}
+
+pub fn settings(kind: Kind, plan: Plan) -> Settings {
+    Settings {
+        seed: 7,
+        me: 0,
+        gateways: 2,
+        zone: 0,
+        lanes: vec![Lane { kind, agreed: 1_000 * MS, importance: 1.0 }],
+        plans: vec![plan],
+        most_trips: 4,
+        second_copies: false,
+        may_cancel: true,
+        may_probe: false,
+        longest_wait: 500 * MS,
+        counter: true,
+        settles: false,
+        list_on_request: None,
+        cold_share: 0.2,
+        warm_up: 10_000 * MS,
+        fall_multiple: 3.0,
+        fall_window: 1_000 * MS,
+    }
+}
+
+/// A plan with room for all.
+pub fn wide() -> Plan {
+    Plan { rate: 1e6, burst: 1e6, price: 1.0, over_cost: 1.0, ..Plan::default() }
+}
+
+pub fn listed(server: &str, zone: u32, state: State, started: Option<Micros>) -> Listed {
+    Listed { server: id(server), zone, kind: 0, cell: zone, state, rating: 1.0, started }
+}
+
+impl Bed {
+    /// A gateway, at a time of one hour, with so many warm servers: s0, s1, ...; even ones in zone 0.
+    pub fn new(settings: Settings, servers: usize) -> Self {
+        let notes = Notes::default();
+        notes.0.borrow_mut().now = 3_600_000 * MS;
+        let gateway = Gateway::start(settings, notes.clone());
+        let mut bed = Bed { notes, gateway, asked: 0 };
+        let list: Vec<Listed> =
+            (0..servers).map(|at| listed(&format!("s{at}"), at as u32 % 2, State::Ready, None)).collect();
+        bed.gateway.list(true, &list);
+        bed.did();
+        bed
+    }
+
+    pub fn now(&self) -> Micros {
+        self.notes.now()
+    }
+
+    pub fn did(&self) -> Vec<Did> {
+        std::mem::take(&mut self.notes.0.borrow_mut().did)
+    }
+
+    /// Lets time pass, with the alarm once in a while, as the module asked for it.
+    pub fn pass(&mut self, time: Micros) {
+        let end = self.now() + time;
+        while self.now() < end {
+            let next = end.min(self.now() + 10 * MS);
+            self.notes.0.borrow_mut().now = next;
+            self.gateway.alarm("look");
+        }
+    }
+
+    /// A new transaction of the customer through gateways 0 and 1; its id.
+    pub fn ask(&mut self, customer: &str, left: Micros) -> Id {
+        self.asked += 1;
+        let asked = id(format!("t{}", self.asked));
+        self.gateway.transaction(Transaction {
+            id: asked.clone(),
+            lane: 0,
+            plan: 0,
+            customer: id(customer),
+            units: 1.0,
+            first: 0,
+            spread: 2,
+            left,
+        });
+        asked
+    }
+
+    /// Has ids go on after so many.
+    pub fn skip(&mut self, asked: usize) {
+        self.asked = asked;
+    }
+
+    pub fn end(&mut self, transaction: &Id, trip: usize, server: &Id, outcome: Outcome, took: Micros) {
+        self.gateway.returned(Returned {
+            transaction: transaction.clone(),
+            trip,
+            server: server.clone(),
+            outcome,
+            took,
+            finished: outcome == Outcome::Ok,
+            units: None,
+            load: Load::default(),
+        });
+    }
+}
+
+/// The sends among what was done: transaction and server.
+pub fn sends(did: &[Did]) -> Vec<(Id, Id)> {
+    did.iter()
+        .filter_map(|did| match did {
+            Did::Send(transaction, server, _) => Some((transaction.clone(), server.clone())),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,171 @@
+//! One small test for each failure found.
+
+mod common;
+
+use common::*;
+use fernscale::interface::*;
+
+fn adds(did: &[Did]) -> Vec<(String, f64)> {
+    let added = |did: &Did| match did {
+        Did::Add(name, amount) => Some((name.clone(), *amount)),
+        _ => None,
+    };
+    did.iter().filter_map(added).collect()
+}
+
+/// Answers every send within a round, so that caps may grow.
+fn settle_all(bed: &mut Bed, took: impl Fn(&Id) -> Micros) -> usize {
+    let sent = sends(&bed.did());
+    for (id, server) in &sent {
+        bed.end(id, 0, server, Outcome::Ok, took(server));
+    }
+    sent.len()
+}
+
+#[test]
+fn a_refused_call_for_trips_out_is_not_repeated_at_once() {
+    let plan = Plan { rate: 0.0, burst: 0.0, most_out: 4, ..wide() };
+    let mut bed = Bed::new(settings(Kind::Redoable, plan), 4);
+    bed.ask("c", 2_000 * MS);
+    let added = adds(&bed.did());
+    assert_eq!(added.len(), 1);
+    bed.gateway.counted(&added[0].0, Outcome::Full, 0.0, MS);
+    assert_eq!(adds(&bed.did()), []);
+}
+
+#[test]
+fn waiting_units_do_not_fill_up_again_in_the_ceiling() {
+    let ceiling = Ceiling { rate: 200.0, burst: 8.0 };
+    let mut bed = Bed::new(settings(Kind::Redoable, Plan { ceiling: Some(ceiling), ..wide() }), 2);
+    bed.pass(1_000 * MS);
+    // Two servers with two places each; what is asked beyond that waits, and time passes.
+    let first: Vec<Id> = (0..4).map(|_| bed.ask("c", 2_000 * MS)).collect();
+    let sent = sends(&bed.did());
+    assert_eq!(sent.len(), 4);
+    bed.pass(200 * MS);
+    (0..2).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+    bed.pass(200 * MS);
+    // All leave at one instant: those that waited, and what the refilled part lets in.
+    bed.did();
+    let mut left = 0;
+    for (id, server) in &sent {
+        bed.end(id, 0, server, Outcome::Ok, 100 * MS);
+        left += sends(&bed.did()).len();
+    }
+    let held_back: usize = (0..6)
+        .map(|_| {
+            bed.ask("c", 2_000 * MS);
+            settle_all(&mut bed, |_| 50 * MS)
+        })
+        .sum();
+    assert_eq!(first.len(), 4);
+    assert!(left + held_back <= 4, "{left} waited and {held_back} more left at once, 4 may");
+}
+
+#[test]
+fn a_surge_within_a_period_uses_the_store_and_no_more() {
+    let plan = Plan { rate: 10.0, burst: 6.0, over_cost: 1.0, price: 1.0, ..Plan::default() };
+    let mut bed = Bed::new(settings(Kind::Redoable, plan), 12);
+    (0..20).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+    // The even share of a customer of two gateways that no total is known of yet.
+    assert_eq!(sends(&bed.did()).len(), 3);
+}
+
+#[test]
+fn many_gateways_split_the_fleet_and_leave_no_server_out() {
+    let used = |me: u32| {
+        let mut bed = Bed::new(Settings { me, gateways: 8, ..settings(Kind::Redoable, wide()) }, 32);
+        (0..60).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+        let mut used: Vec<Id> = sends(&bed.did()).into_iter().map(|(_, server)| server).collect();
+        used.sort();
+        used.dedup();
+        used
+    };
+    let all: Vec<Vec<Id>> = (0..8).map(used).collect();
+    assert!(all.iter().all(|used| used.len() == 8));
+    let mut together = all.concat();
+    together.sort();
+    together.dedup();
+    assert_eq!(together.len(), 32);
+}
+
+#[test]
+fn a_slow_kind_of_server_keeps_its_places() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 2);
+    let pace = |server: &Id| if &**server == "s0" { 160 * MS } else { 100 * MS };
+    for _ in 0..300 {
+        (0..4).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+        settle_all(&mut bed, pace);
+    }
+    (0..40).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+    let slow = sends(&bed.did()).iter().filter(|(_, server)| &**server == "s0").count();
+    assert!(slow >= 2, "{slow} places at the slow server");
+}
+
+#[test]
+fn only_a_server_that_loses_answers_gets_a_short_time_out() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 4);
+    let mut limits = [0, 0];
+    for _ in 0..150 {
+        (0..4).for_each(|_| drop(bed.ask("c", 5_000 * MS)));
+        for did in bed.did() {
+            let Did::Send(id, server, limit) = did else { continue };
+            let lossy = &*server == "s0";
+            limits[usize::from(lossy)] = limit;
+            let outcome = if lossy { Outcome::TimedOut } else { Outcome::Ok };
+            bed.end(&id, 0, &server, outcome, if lossy { limit } else { 100 * MS });
+        }
+        bed.pass(600 * MS);
+    }
+    assert!(limits[0] > 4_000 * MS && limits[1] < 1_500 * MS, "{limits:?}");
+}
+
+#[test]
+fn the_least_rewarding_is_refused_first_and_at_once() {
+    let mut told = settings(Kind::Redoable, wide());
+    told.plans.push(Plan { price: 3.0, ..wide() });
+    let mut bed = Bed::new(told, 1);
+    let mut ask = |name: &str, plan: usize| {
+        let asked = Transaction {
+            id: id(name),
+            lane: 0,
+            plan,
+            customer: id(format!("c{plan}")),
+            units: 1.0,
+            first: 0,
+            spread: 2,
+            left: 2_000 * MS,
+        };
+        bed.gateway.transaction(asked);
+        bed.did()
+    };
+    // Two places and one to wait in.
+    assert_eq!(sends(&ask("a", 0)).len() + sends(&ask("b", 0)).len(), 2);
+    assert_eq!(ask("cheap", 0), []);
+    assert_eq!(ask("dear", 1), [Did::Nack(id("cheap"), 500 * MS)]);
+    assert_eq!(ask("cheap too", 0), [Did::Nack(id("cheap too"), 500 * MS)]);
+}
+
+#[test]
+fn a_cold_server_that_rejects_is_not_hammered() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 4);
+    for _ in 0..30 {
+        (0..4).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+        settle_all(&mut bed, |_| 100 * MS);
+        bed.pass(100 * MS);
+    }
+    let started = Some(bed.now());
+    bed.gateway.list(false, &[listed("s0", 0, State::Ready, started)]);
+    let mut pushed = 0;
+    for _ in 0..20 {
+        (0..4).for_each(|_| drop(bed.ask("c", 2_000 * MS)));
+        for (id, server) in sends(&bed.did()) {
+            let cold = &*server == "s0";
+            pushed += usize::from(cold);
+            bed.end(&id, 0, &server, if cold { Outcome::Full } else { Outcome::Ok }, 50 * MS);
+        }
+        bed.pass(50 * MS);
+    }
+    // A warm one gets ten a second from here: three times a fifth of that, and half of it for safety.
+    assert!((1..=4).contains(&pushed), "{pushed} sent to a cold server within a second");
+}
