--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,18 @@
 const MARGIN: Micros = 2 * TICK;
 /// The period of the fraction, µs: the shorter, the less of a surge passes, and the more calls are made.
 const PERIOD: Micros = 200_000;
-/// The longest period, µs, to which a crowded counter stretches it: bursts are often this many seconds worth.
-const LONGEST_PERIOD: Micros = 2 * SECOND;
+/// Calls to the counter a second: at first, and at the least, which lets any gateway find its way back; what an
+/// answer adds to them, and what a call in vain leaves of them, a factor, once in so many µs. A counter that is
+/// asked more than it can do works on calls that nobody waits for any more, and so answers none.
+const FIRST_CALLS: f64 = 80.0;
+const LEAST_CALLS: f64 = 15.0;
+const MORE_CALLS: f64 = 0.2;
+const FEWER_CALLS: f64 = 0.8;
+const CALLS_CUT: Micros = 100_000;
+/// A customer far from its quota is told of this many times later, until what is offered here stands for this
+/// share of its store; most are, and each call counts at a crowded counter.
+const CALM: Micros = 8;
+const PRESSING: f64 = 0.3;
 /// Time that one name of a count stands for, µs: long beside the period, so that few totals begin anew, and
 /// short enough that what a killed gateway left in a count is soon forgotten.
 const SPAN: Micros = 10 * SECOND;
@@ -105,17 +115,22 @@
     filled: Micros,
     fraction: f64,
     draw: f64,
-    /// Units offered here and not yet added to the count, and the call that is under way.
+    /// Units offered here that no call has told of, those whose call was turned away, and the call under way:
+    /// all its units, and the new ones.
     offered: f64,
-    adding: Option<f64>,
-    due: bool,
+    carried: f64,
+    adding: Option<(f64, f64)>,
+    due: Option<Micros>,
     span: u64,
     known: f64,
     /// Units offered by all within about a period.
     demand: f64,
+    /// Units taken from the store for others by guess, while the counter did not tell.
+    guessed: f64,
     /// This gateway's part of what all were offered.
     part: f64,
     told: Option<Micros>,
+    judged: Micros,
     /// Trips out from here; what the shared count holds of them; what others had out, and when that was so.
     out: u32,
     out_added: f64,
@@ -166,7 +181,10 @@
     carried: f64,
     sent: u32,
     looked: Micros,
-    period: Micros,
+    /// Calls a second that the counter stands, calls that may be made now, and when the rate was last cut.
+    call_rate: f64,
+    calls: f64,
+    calls_cut: Micros,
     further: f64,
     lost: f64,
 }
@@ -192,7 +210,9 @@
             carried: 0.0,
             sent: 0,
             looked: born,
-            period: PERIOD,
+            call_rate: FIRST_CALLS,
+            calls: 0.0,
+            calls_cut: born,
             further: FURTHER_SAVED,
             lost: 0.0,
             host,
@@ -280,7 +300,12 @@
             self.dues.pop_first();
             self.give_up(&id);
         }
+        self.calls =
+            (self.calls + self.call_rate * TICK as f64 / SECOND as f64).min(1.0 + self.call_rate / 20.0);
         while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
+            if self.calls < 1.0 {
+                break;
+            }
             self.posts.pop_first();
             self.post(&id, now);
         }
@@ -333,11 +358,12 @@
     /// A call to the shared counter has ended.
     pub fn counted(&mut self, count: &str, outcome: Outcome, total: f64, _took: Micros) {
         let now = self.host.now();
-        // A crowded counter gets fewer calls, or it would never catch up.
-        self.period = match outcome {
-            Outcome::Ok => (self.period - self.period / 100).max(PERIOD),
-            _ => (self.period + self.period / 20).min(LONGEST_PERIOD),
-        };
+        if outcome == Outcome::Ok {
+            self.call_rate += MORE_CALLS;
+        } else if now >= self.calls_cut + CALLS_CUT {
+            self.call_rate = (self.call_rate * FEWER_CALLS).max(LEAST_CALLS);
+            self.calls_cut = now;
+        }
         let Some((kind, id)) = count.split_once(':') else { return };
         let id = Id::from(id);
         let Some(customer) = self.customers.get_mut(&id) else { return };
@@ -357,41 +383,37 @@
             }
             return;
         }
-        let Some(amount) = customer.adding.take() else { return };
+        let Some((amount, new)) = customer.adding.take() else { return };
         let plan = &self.settings.plans[customer.plan];
         customer.fill(plan, now);
         // A total without what was known to be in it has been lost: it tells nothing, least of all room.
         let least = if self.settings.settles { 0.5 } else { 1.0 } * customer.known + amount - ROUNDING;
-        let heard = outcome == Outcome::Ok && total >= least;
-        let others = match heard {
-            true => total - customer.known - amount,
-            false => amount.max(0.0) * (1.0 / customer.part - 1.0),
-        };
+        let others = (total - customer.known - amount).max(0.0);
         match outcome {
             Outcome::Ok => customer.known = total,
             Outcome::TimedOut => customer.known += amount,
-            _ => {}
-        }
-        let (period, span_age) = (self.period as f64, now % SPAN);
-        let elapsed = customer.told.map_or(span_age, |told| now - told) as f64;
-        customer.demand = customer.demand * (1.0 - elapsed / period).max(0.0)
-            + (amount + others) * (period / elapsed.max(1.0)).min(1.0);
-        if customer.told.is_none() && heard {
-            let since = plan.rate * span_age as f64 / SECOND as f64;
-            customer.store = (plan.burst + since - total).min(plan.burst);
+            // What was not added must not stay untold, or each gateway takes itself for the only one.
+            _ => customer.carried += amount,
+        }
+        if outcome != Outcome::Ok || total < least {
+            customer.guess(new, plan, now);
         } else {
-            customer.store -= others.max(0.0) * customer.fraction;
-        }
-        customer.store = customer.store.max(0.0);
-        if amount > 0.0 {
-            // Without word from the counter the part ages towards the even share.
-            let even = 1.0 / customer.spread;
-            let part = if heard { amount / (amount + others.max(0.0)) } else { even };
-            customer.part = (customer.part + NEWEST * (part - customer.part)).max(even / 4.0);
-        }
-        customer.told = if outcome == Outcome::Ok { Some(now) } else { customer.told };
-        customer.fraction = customer.admit(plan.rate * period / SECOND as f64);
-        if customer.offered != 0.0 {
+            let span_age = now % SPAN;
+            let since = customer.told.unwrap_or(now - span_age);
+            // For others some may be taken already, by guess.
+            let taken = (others * customer.fraction - std::mem::take(&mut customer.guessed)).max(0.0);
+            if customer.told.is_none() {
+                let refill = plan.rate * span_age as f64 / SECOND as f64;
+                customer.store = (plan.burst + refill - total).min(plan.burst) + taken;
+            }
+            customer.told = Some(now);
+            customer.judge(amount + others, taken, since, plan, now);
+            if amount > 0.0 {
+                let part = amount / (amount + others);
+                customer.part = (customer.part + NEWEST * (part - customer.part)).max(0.25 / customer.spread);
+            }
+        }
+        if customer.offered != 0.0 || customer.carried != 0.0 {
             self.post_later(&id, now);
         }
     }
@@ -399,9 +421,26 @@
     /// Has a customer's units added to its count a period from now.
     fn post_later(&mut self, id: &Id, now: Micros) {
         let Some(customer) = self.customers.get_mut(id) else { return };
-        if self.settings.counter && customer.spread > 1.0 && !customer.due && customer.adding.is_none() {
-            customer.due = true;
-            self.posts.insert((now + self.period, id.clone()));
+        if !self.settings.counter || customer.spread <= 1.0 || customer.adding.is_some() {
+            return;
+        }
+        let (all, room) = match customer.told {
+            Some(_) => (customer.offered / customer.part, customer.store),
+            None => (customer.offered, self.settings.plans[customer.plan].burst),
+        };
+        let pressing = customer.fraction < 1.0 || all > PRESSING * room;
+        let behind = self.posts.first().is_some_and(|(at, _)| at + PERIOD < now);
+        let at = now
+            + if pressing {
+                PERIOD
+            } else if behind {
+                SPAN
+            } else {
+                CALM * PERIOD
+            };
+        if customer.due.is_none_or(|due| at < due) {
+            customer.due.replace(at).map(|due| self.posts.remove(&(due, id.clone())));
+            self.posts.insert((at, id.clone()));
         }
     }
 
@@ -422,6 +461,7 @@
                 // A new customer has its even share until a total is known, and never less than its first.
                 store: (plan.burst * even).max(arrived.units),
                 filled: now,
+                judged: now,
                 fraction: 1.0,
                 draw: chance.gen(),
                 part: even,
@@ -439,11 +479,15 @@
         }
         if plan.rate > 0.0 {
             customer.offered += arrived.units;
-            let period = self.period as f64 / SECOND as f64;
-            if customer.told.is_some_and(|told| told + self.period < now) {
-                // Nothing was offered for a period, so the last total says nothing of this one.
-                customer.demand = customer.offered;
-                customer.fraction = customer.admit(plan.rate * period);
+            if customer.due.is_some_and(|due| due + PERIOD < now) {
+                // The counter can't be asked as often as needed: the others' part must not be taken for room.
+                let new = std::mem::take(&mut customer.offered);
+                customer.carried += new;
+                customer.guess(new, plan, now);
+            } else if let Some(told) = customer.told.filter(|_| customer.judged + 2 * PERIOD < now) {
+                // Nothing was told for a period, so the last total says nothing of this one.
+                customer.demand = 0.0;
+                customer.judge(customer.offered / customer.part, 0.0, told, plan, now);
             }
             // The surge: what comes within a period can't use more than the store.
             within &= arrived.units <= customer.store + ROUNDING;
@@ -460,14 +504,16 @@
     /// Adds what a customer offered to its count.
     fn post(&mut self, id: &Id, now: Micros) {
         let Some(customer) = self.customers.get_mut(id) else { return };
-        customer.due = false;
+        customer.due = None;
         let span = now / SPAN;
         if customer.span != span {
             (customer.span, customer.known) = (span, 0.0);
         }
-        customer.adding = Some(customer.offered);
-        self.host.add(&format!("q{span}:{id}"), customer.offered, 2 * SPAN);
-        customer.offered = 0.0;
+        let new = std::mem::take(&mut customer.offered);
+        let amount = new + std::mem::take(&mut customer.carried);
+        customer.adding = Some((amount, new));
+        self.calls -= 1.0;
+        self.host.add(&format!("q{span}:{id}"), amount, 2 * SPAN);
     }
 
     /// Keeps the shared count of a customer's trips out in step with those from here.
@@ -485,6 +531,7 @@
         if amount != 0.0 {
             customer.out_added += amount;
             customer.out_adding = Some(amount);
+            self.calls -= 1.0;
             self.host.add(&format!("o{span}:{id}"), amount, 2 * SPAN);
         }
     }
@@ -783,12 +830,23 @@
         }
     }
 
-    /// The page's fraction: what may pass of what is offered.
-    fn admit(&self, refill: f64) -> f64 {
-        if self.demand > 0.0 {
-            ((refill + self.store) / self.demand).clamp(0.0, 1.0)
-        } else {
-            1.0
-        }
+    /// The page's store and fraction, from what all were offered since some time, and what others took of it.
+    fn judge(&mut self, all: f64, taken: f64, since: Micros, plan: &Plan, now: Micros) {
+        let periods = ((now - since) as f64 / PERIOD as f64).max(1e-6);
+        self.demand = self.demand * (1.0 - periods).max(0.0) + all / periods.max(1.0);
+        self.store = (self.store - taken).max(0.0);
+        let refill = plan.rate * PERIOD as f64 / SECOND as f64;
+        self.fraction = if self.demand > 0.0 { ((refill + self.store) / self.demand).min(1.0) } else { 1.0 };
+        self.judged = now;
+    }
+
+    /// Without word from the counter: others are taken to have been offered their usual part beside what was
+    /// offered here, and the usual part ages towards the even one.
+    fn guess(&mut self, new: f64, plan: &Plan, now: Micros) {
+        let others = new.max(0.0) * (1.0 / self.part - 1.0);
+        let taken = (others * self.fraction).min(self.store.max(0.0));
+        self.guessed += taken;
+        self.part += NEWEST * (1.0 / self.spread - self.part);
+        self.judge(new + others, taken, self.judged, plan, now);
     }
 }
