--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,9 +66,6 @@
 const HOLD: f64 = 0.25;
 /// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
 const COLD_USE: f64 = 0.5;
-/// First pause of a server after a failure, µs, doubled with each further one, at most this many times.
-const PAUSE: Micros = 500_000;
-const MOST_DOUBLINGS: u32 = 4;
 /// A server that loses answers more often than this share, and so many times more often than the fleet, has
 /// trips given up after so many idle answer times; elsewhere long work would only be done twice.
 const LOSSY: f64 = 0.02;
@@ -98,8 +95,6 @@
     /// Share of trips that never came back.
     lost: f64,
     credit: f64,
-    failures: u32,
-    paused_until: Micros,
     /// Sends within the window in which a cold server can be pushed over.
     sends: VecDeque<Micros>,
 }
@@ -125,8 +120,6 @@
     known: f64,
     /// Units offered by all within about a period.
     demand: f64,
-    /// Units taken from the store for others by guess, while the counter did not tell.
-    guessed: f64,
     /// This gateway's part of what all were offered.
     part: f64,
     told: Option<Micros>,
@@ -233,12 +226,14 @@
         if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived) {
             return self.host.nack(&arrived.id, wait);
         }
-        if !within && (self.fill(now).0 > SPARE || !self.waiting.is_empty()) {
+        if !within && (self.fill().0 > SPARE || !self.waiting.is_empty()) {
             return self.host.nack(&arrived.id, wait);
         }
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
         let (id, hard_stop) = (arrived.id.clone(), now + arrived.left);
-        let rank = (-(self.worth(arrived.lane, arrived.plan) * 1e6) as i64, now, id.clone());
+        // What earns most for the work it takes goes first.
+        let worth = plan.price * self.settings.lanes[arrived.lane].importance / self.usual[arrived.lane];
+        let rank = (-(worth * 1e9) as i64, now, id.clone());
         let due = (now + hold).min(hard_stop - MARGIN);
         self.charge(&arrived, within, 1.0);
         self.waiting.insert(rank.clone());
@@ -247,7 +242,7 @@
         self.open.insert(id, open);
         self.serve(now);
         // What can't be served in time is refused at once, the least rewarding first.
-        if self.waiting.len() as f64 > QUEUE * self.fill(now).1 {
+        if self.waiting.len() as f64 > QUEUE * self.fill().1 {
             if let Some((_, _, last)) = self.waiting.pop_last() {
                 self.give_up(&last);
             }
@@ -268,7 +263,7 @@
         trip.may_have_run = !end.outcome.never_ran();
         let (customer_id, lane, units) = (open.asked.customer.clone(), open.asked.lane, open.asked.units);
         let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
-        self.learn(&end, lane, now);
+        self.learn(&end, lane);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out = customer.out.saturating_sub(1);
             if let Some(true_units) = end.units.filter(|_| end.outcome == Outcome::Ok) {
@@ -400,8 +395,7 @@
         } else {
             let span_age = now % SPAN;
             let since = customer.told.unwrap_or(now - span_age);
-            // For others some may be taken already, by guess.
-            let taken = (others * customer.fraction - std::mem::take(&mut customer.guessed)).max(0.0);
+            let taken = others * customer.fraction;
             if customer.told.is_none() {
                 let refill = plan.rate * span_age as f64 / SECOND as f64;
                 customer.store = (plan.burst + refill - total).min(plan.burst) + taken;
@@ -484,10 +478,6 @@
                 let new = std::mem::take(&mut customer.offered);
                 customer.carried += new;
                 customer.guess(new, plan, now);
-            } else if let Some(told) = customer.told.filter(|_| customer.judged + 2 * PERIOD < now) {
-                // Nothing was told for a period, so the last total says nothing of this one.
-                customer.demand = 0.0;
-                customer.judge(customer.offered / customer.part, 0.0, told, plan, now);
             }
             // The surge: what comes within a period can't use more than the store.
             within &= arrived.units <= customer.store + ROUNDING;
@@ -556,7 +546,7 @@
         if server.started != entry.started {
             // The same machine, started anew, and cold: what was learnt of it no longer holds.
             (server.started, server.cap, server.pace, server.relative) = (entry.started, cap, 1.0, 1.0);
-            (server.failures, server.paused_until) = (0, 0);
+            server.lost = 0.0;
         }
         (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
         server.ready = entry.state == State::Ready;
@@ -581,22 +571,12 @@
         ((recent + 1) as f64) <= (COLD_USE * self.settings.fall_multiple * can).max(1.0)
     }
 
-    /// How far the sound servers' caps are used, from 0 to 1, and their sum.
-    fn fill(&self, now: Micros) -> (f64, f64) {
-        let sound =
-            self.servers.values().filter(|server| server.ready && server.mine && server.paused_until <= now);
-        let (out, cap) = sound.fold((0.0, 0.0), |(out, cap), server| {
-            (out + f64::from(server.out).min(server.cap), cap + server.cap.max(1.0))
-        });
-        (if cap > 0.0 { out / cap } else { 0.0 }, cap)
-    }
-
-    /// Importance for the work it takes, from 0 to 1: what the most rewarding transactions have is 1.
-    fn worth(&self, lane: usize, plan: usize) -> f64 {
-        let lane_worth = |lane: usize| self.settings.lanes[lane].importance / self.usual[lane];
-        let best_lane = (0..self.usual.len()).map(lane_worth).fold(0.0, f64::max);
-        let best_plan = self.settings.plans.iter().map(|plan| plan.price).fold(0.0, f64::max);
-        lane_worth(lane) * self.settings.plans[plan].price / (best_lane * best_plan)
+    /// How far the servers' caps are used, from 0 to 1, and their sum.
+    fn fill(&self) -> (f64, f64) {
+        let used = self.servers.values().filter(|server| server.ready && server.mine);
+        let sum = |sum: (f64, f64), server: &Server| (sum.0 + f64::from(server.out), sum.1 + server.cap);
+        let (out, cap) = used.fold((0.0, 0.0), sum);
+        (out / cap.max(1.0), cap)
     }
 
     /// The next server by weighted rotation among those that may have this transaction and have room.
@@ -611,17 +591,14 @@
                 && !trips.iter().any(|trip| trip.server == **id)
         };
         let weigh = |(id, server): (&Id, &Server)| {
-            let works = (1.0 - server.lost).powi(2) * self.share(server, now);
-            (id.clone(), server.rating.max(0.01) * works / server.relative, server.paused_until <= now)
+            // What loses its trips, dead or unreachable, gets few, but always some, to show that it is back.
+            let works = (1.0 - server.lost).max(0.1).powi(2) * self.share(server, now);
+            (id.clone(), server.rating.max(0.01) * works / server.relative)
         };
-        let mut chosen: Vec<_> = self.servers.iter().filter(fits).map(weigh).collect();
-        // Where all look ill, the fault is elsewhere and none is cast out.
-        if chosen.iter().any(|(_, _, sound)| *sound) {
-            chosen.retain(|(_, _, sound)| *sound);
-        }
-        let sum: f64 = chosen.iter().map(|(_, weight, _)| weight).sum();
+        let chosen: Vec<(Id, f64)> = self.servers.iter().filter(fits).map(weigh).collect();
+        let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
         let mut best: Option<(Id, f64)> = None;
-        for (id, weight, _) in chosen {
+        for (id, weight) in chosen {
             let server = self.servers.get_mut(&id).expect("chosen from these");
             server.credit = (server.credit + weight / sum).min(2.0);
             if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
@@ -648,7 +625,7 @@
     }
 
     /// What one trip's end tells of its server.
-    fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
+    fn learn(&mut self, end: &Returned, lane: usize) {
         let agreed = self.settings.lanes[lane].agreed as f64;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
@@ -662,7 +639,6 @@
         }
         match end.outcome {
             Outcome::Ok => {
-                server.failures = 0;
                 self.usual[lane] += NEWEST / 5.0 * (took.min(2.0 * agreed) - self.usual[lane]);
                 let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
                 *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
@@ -674,15 +650,8 @@
                     server.cap = (server.cap + change).max(1.0);
                 }
             }
-            Outcome::Error | Outcome::Reset | Outcome::NotConnected | Outcome::TimedOut => {
-                let pause = PAUSE << server.failures.min(MOST_DOUBLINGS);
-                server.failures += 1;
-                if server.failures > 1 || end.outcome == Outcome::NotConnected {
-                    server.paused_until = now + pause;
-                }
-            }
             Outcome::Full => server.cap = (server.cap * BACK_OFF).max(1.0),
-            Outcome::Cancelled | Outcome::NeverSent => {}
+            _ => {}
         }
     }
 
@@ -807,6 +776,10 @@
         let time = (now - self.filled) as f64 / SECOND as f64;
         let shared = if self.told.is_some() { 1.0 } else { 1.0 / self.spread };
         self.store = (self.store + plan.rate * shared * time).min(plan.burst);
+        if self.store >= plan.burst {
+            // Nobody is over a quota whose store is full, whatever the last total said.
+            self.fraction = 1.0;
+        }
         if let Some(Ceiling { rate, burst }) = plan.ceiling {
             // What waits leaves later: meanwhile its part must not fill up again, or both could leave at once.
             let most = burst / self.spread - self.held;
@@ -845,7 +818,6 @@
     fn guess(&mut self, new: f64, plan: &Plan, now: Micros) {
         let others = new.max(0.0) * (1.0 / self.part - 1.0);
         let taken = (others * self.fraction).min(self.store.max(0.0));
-        self.guessed += taken;
         self.part += NEWEST * (1.0 / self.spread - self.part);
         self.judge(new + others, taken, self.judged, plan, now);
     }
