--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,7 @@
 const ROUNDING: f64 = 0.01;
 /// Weight of the newest sample in a mean, from 0 to 1: some ten samples count.
 const NEWEST: f64 = 0.1;
+const LATEST: f64 = 0.3;
 /// Gateways that share one server: with more of them even one trip from each overdrives it. And the fewest
 /// servers that a gateway keeps, so that it rides out the loss of some.
 const SHARED_BY: usize = 2;
@@ -104,6 +105,9 @@
     filled: Micros,
     fraction: f64,
     draw: f64,
+    /// Units that left of those offered since the last call, and the share that does, of late: the others' too.
+    left: f64,
+    passing: f64,
     /// Units offered here that no call has told of, those whose call was turned away, and the call under way:
     /// all its units, and the new ones.
     offered: f64,
@@ -389,7 +393,7 @@
         } else {
             let span_age = now % SPAN;
             let since = customer.told.unwrap_or(now - span_age);
-            let taken = others * customer.fraction;
+            let taken = others * customer.passing;
             if customer.told.is_none() {
                 let refill = plan.rate * span_age as f64 / SECOND as f64;
                 customer.store = (plan.burst + refill - total).min(plan.burst) + taken;
@@ -435,6 +439,7 @@
                 filled: now,
                 judged: now,
                 fraction: 1.0,
+                passing: 1.0,
                 draw: chance.gen(),
                 part: even,
                 // Kept alone, by the even part, which is empty at a gateway's start: one that was killed may have
@@ -479,6 +484,10 @@
         }
         let new = std::mem::take(&mut customer.offered);
         let amount = new + std::mem::take(&mut customer.carried);
+        if new > 0.0 {
+            let share = (std::mem::take(&mut customer.left) / new).clamp(0.0, 1.0);
+            customer.passing += LATEST * (share - customer.passing);
+        }
         customer.adding = Some((amount, new));
         self.calls -= 1.0;
         self.host.add(&format!("q{span}:{id}"), amount, 2 * SPAN);
@@ -639,7 +648,10 @@
         let units = times * asked.units;
         customer.held += units;
         customer.ceiling -= units;
-        customer.store -= if within { units } else { 0.0 };
+        if within {
+            customer.store -= units;
+            customer.left += units;
+        }
     }
 
     /// Sends what waits, the most rewarding first, as far as servers have room.
