--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,33 +13,31 @@
 use crate::interface::{Returned, Settings, State, Transaction};
 
 const SECOND: Micros = 1_000_000;
-/// What the alarms are for: to see what is due, and to ask anew for the list of servers.
-const LOOK: &str = "look";
-const FOLLOW: &str = "follow";
 /// Between two looks at what is due, µs: short beside any agreed time, long beside the work of one look.
 const TICK: Micros = 10_000;
 /// Answers are given this long before the hard stop, µs: two looks, so that a late one still holds.
 const MARGIN: Micros = 2 * TICK;
 /// The period of the fraction, µs: the shorter, the less of a surge passes, and the more calls are made.
 const PERIOD: Micros = 200_000;
-/// Calls to the counter a second: at first, and at the least, which lets any gateway find its way back; what an
-/// answer adds to them. A counter that is asked more than it can do works on calls that nobody waits for any
-/// more, and so answers none.
+/// Calls to the counter a second: at first, at the least, and what an answer adds. A counter asked more than it
+/// can do works on calls that nobody waits for any more, and so answers none.
 const FIRST_CALLS: f64 = 80.0;
 const LEAST_CALLS: f64 = 15.0;
 const MORE_CALLS: f64 = 0.2;
-/// Time that one name of a count stands for, µs: long beside the period, so that few totals begin anew, and
-/// short enough that what a killed gateway left in a count is soon forgotten.
+/// Time that one name of a count stands for, µs: many periods, yet what a killed gateway left is soon forgotten.
 const SPAN: Micros = 10 * SECOND;
 /// Customers unheard of for this long, µs, are forgotten: any burst has refilled by then.
 const QUIET: Micros = 30 * SECOND;
 /// Units by which a total may miss what this gateway itself knows it to hold, for rounding in the counter.
 const ROUNDING: f64 = 0.01;
-/// Weight of the newest sample in a mean, from 0 to 1: some ten samples count.
+/// What settling may take off a total at most, as what it leaves, a share: more is a loss.
+const SETTLED: f64 = 0.5;
+/// The least part of all traffic that a gateway takes for its own, in even parts: it bounds what is guessed.
+const LEAST_PART: f64 = 0.25;
+/// Weight of the newest sample in a mean, from 0 to 1: some ten samples count, or three where all hangs on now.
 const NEWEST: f64 = 0.1;
 const LATEST: f64 = 0.3;
-/// Gateways that share one server: with more of them even one trip from each overdrives it. And the fewest
-/// servers that a gateway keeps, so that it rides out the loss of some.
+/// Gateways to a server, beyond which one trip from each overdrives it, and the fewest servers to a gateway.
 const SHARED_BY: usize = 2;
 const FEWEST: usize = 8;
 /// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
@@ -48,24 +46,27 @@
 /// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: few cores idle, and no
 /// server is driven so hard that it grows slow and stays so.
 const STRETCH: f64 = 1.15;
-/// How fast the idle answer time follows a fleet that grows slower, a share for each answer: a mean falls at
-/// once, but may rise only over some hundred answers, or a jam would pass for the usual.
+/// Share of its agreed time that a lane is taken to need until answers tell.
+const USUAL: f64 = 0.2;
+/// How fast the idle answer time may rise, a share for each answer: faster, a jam would pass for the usual.
 const RISE: f64 = 0.002;
 /// What a rejection leaves of a cap, and a call in vain of the rate of calls, a factor.
 const BACK_OFF: f64 = 0.8;
 /// Fill of the caps up to which what is beyond its quota, but pays, may be sent on.
 const SPARE: f64 = 0.7;
-/// What may wait here for a place at a server, as a multiple of all caps, and for how long, as a share of the
-/// agreed time: one turn of all places, which evens out chance; more would only be answered late.
+/// What may wait here, as a share of all caps, and how long, as a share of the agreed time: it evens out chance.
 const QUEUE: f64 = 0.5;
 const HOLD: f64 = 0.25;
 /// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
 const COLD_USE: f64 = 0.5;
-/// A server that loses answers more often than this share, and so many times more often than the fleet, has
-/// trips given up after so many idle answer times; elsewhere long work would only be done twice.
-const LOSSY: f64 = 0.02;
-const LOSSIER: f64 = 3.0;
+/// A server that loses more than this share of its trips, some two in twenty, has them given up after so many
+/// idle answer times; elsewhere long work would only be done twice.
+const LOSSY: f64 = 0.08;
 const LOST: f64 = 7.0;
+/// Trust, from 0 to 1, that a server which loses all its trips keeps: its square is its share of the rotation.
+const LEAST_TRUST: f64 = 0.1;
+/// Turns that a server may save up while it has no room: more would come as a burst.
+const MOST_TURNS: f64 = 2.0;
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
@@ -100,7 +101,6 @@
     /// How many gateways share this customer, and this one's place among them.
     spread: f64,
     place: Option<u32>,
-    seen: Micros,
     store: f64,
     filled: Micros,
     fraction: f64,
@@ -177,13 +177,12 @@
     calls: f64,
     calls_cut: Micros,
     further: f64,
-    lost: f64,
 }
 
 impl<H: Host> Gateway<H> {
     pub fn start(settings: Settings, mut host: H) -> Self {
         let born = host.now();
-        host.set_alarm(TICK, LOOK);
+        host.set_alarm(TICK, "look");
         if settings.list_on_request.is_some() {
             host.follow_list(true);
         }
@@ -196,7 +195,7 @@
             dues: BTreeSet::new(),
             waiting: BTreeSet::new(),
             posts: BTreeSet::new(),
-            usual: settings.lanes.iter().map(|lane| lane.agreed as f64 / 5.0).collect(),
+            usual: settings.lanes.iter().map(|lane| USUAL * lane.agreed as f64).collect(),
             idle: vec![f64::INFINITY; settings.lanes.len()],
             carried: 0.0,
             sent: 0,
@@ -205,7 +204,6 @@
             calls: 0.0,
             calls_cut: born,
             further: FURTHER_SAVED,
-            lost: 0.0,
             host,
             settings,
         }
@@ -221,10 +219,8 @@
         let plan = &self.settings.plans[arrived.plan];
         let value = if within { 1.0 } else { plan.over_worth - plan.over_cost };
         let wait = self.settings.longest_wait;
-        if value <= 0.0 || arrived.left <= MARGIN || !self.under_ceiling(&arrived) {
-            return self.host.nack(&arrived.id, wait);
-        }
-        if !within && (self.fill().0 > SPARE || !self.waiting.is_empty()) {
+        let crowded = !within && (self.fill().0 > SPARE || !self.waiting.is_empty());
+        if value <= 0.0 || crowded || arrived.left <= MARGIN || !self.under_ceiling(&arrived) {
             return self.host.nack(&arrived.id, wait);
         }
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
@@ -259,15 +255,15 @@
         let Some(trip) = open.trips.get_mut(end.trip).filter(|trip| trip.live) else { return };
         trip.live = false;
         trip.may_have_run = !end.outcome.never_ran();
-        let (customer_id, lane, units) = (open.asked.customer.clone(), open.asked.lane, open.asked.units);
+        let (customer_id, lane, within) = (open.asked.customer.clone(), open.asked.lane, open.within);
+        let settled = end.units.map_or(0.0, |units| units - open.asked.units);
         let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
         self.learn(&end, lane);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.out = customer.out.saturating_sub(1);
-            if let Some(true_units) = end.units.filter(|_| end.outcome == Outcome::Ok) {
-                customer.store -= true_units - units;
-                customer.offered += true_units - units;
-            }
+            // The guess is put right; beyond the quota nothing had been taken from the store.
+            customer.offered += settled;
+            customer.store -= if within { settled } else { 0.0 };
         }
         self.post_out(&customer_id, now);
         if finished {
@@ -284,21 +280,19 @@
     }
 
     pub fn alarm(&mut self, token: &str) {
-        if token == FOLLOW {
+        if token == "follow" {
             return self.host.follow_list(true);
         }
         let now = self.host.now();
-        self.host.set_alarm(TICK, LOOK);
+        self.host.set_alarm(TICK, "look");
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
             self.give_up(&id);
         }
-        self.calls =
-            (self.calls + self.call_rate * TICK as f64 / SECOND as f64).min(1.0 + self.call_rate / 20.0);
-        while let Some((_, id)) = self.posts.first().filter(|(at, _)| *at <= now).cloned() {
-            if self.calls < 1.0 {
-                break;
-            }
+        let more = self.call_rate * TICK as f64 / SECOND as f64;
+        self.calls = (self.calls + more).min(1.0 + more);
+        let may = |this: &Self, at: Micros| at <= now && this.calls >= 1.0;
+        while let Some((_, id)) = self.posts.first().filter(|(at, _)| may(self, *at)).cloned() {
             self.posts.pop_first();
             self.post(&id, now);
         }
@@ -315,7 +309,7 @@
                 // Forgotten sooner, a part of a ceiling would come back full before its time.
                 let ceiling = plans[customer.plan].ceiling.unwrap_or_default();
                 let refill = (ceiling.burst / ceiling.rate.max(1e-3)) as Micros * SECOND;
-                customer.out > 0 || customer.seen + QUIET.max(refill) > now
+                customer.out > 0 || customer.filled + QUIET.max(refill) > now
             });
         }
     }
@@ -341,7 +335,7 @@
 
     /// The list could not be had, or follows no longer.
     pub fn list_failed(&mut self) {
-        self.host.set_alarm(SECOND, FOLLOW);
+        self.host.set_alarm(SECOND, "follow");
     }
 
     pub fn probed(&mut self, _server: &Id, _outcome: Outcome, _load: Load) {}
@@ -380,7 +374,7 @@
         let plan = &self.settings.plans[customer.plan];
         customer.fill(plan, now);
         // A total without what was known to be in it has been lost: it tells nothing, least of all room.
-        let least = if self.settings.settles { 0.5 } else { 1.0 } * customer.known + amount - ROUNDING;
+        let least = if self.settings.settles { SETTLED } else { 1.0 } * customer.known + amount - ROUNDING;
         let others = (total - customer.known - amount).max(0.0);
         match outcome {
             Outcome::Ok => customer.known = total,
@@ -402,7 +396,8 @@
             customer.judge(amount + others, taken, since, plan, now);
             if amount > 0.0 {
                 let part = amount / (amount + others);
-                customer.part = (customer.part + NEWEST * (part - customer.part)).max(0.25 / customer.spread);
+                customer.part =
+                    (customer.part + NEWEST * (part - customer.part)).max(LEAST_PART / customer.spread);
             }
         }
         if customer.offered != 0.0 || customer.carried != 0.0 {
@@ -448,7 +443,6 @@
                 ..Customer::default()
             }
         });
-        customer.seen = now;
         customer.fill(plan, now);
         let mut within = true;
         if plan.most_out > 0 {
@@ -523,17 +517,11 @@
     fn enlist(&mut self, entry: &Listed, now: Micros) {
         let cold = entry.started.is_some_and(|at| now < at + self.settings.warm_up);
         let cap = if cold { FRESH_CAP } else { FIRST_CAP };
-        let server = self.servers.entry(entry.server.clone()).or_insert(Server {
-            started: entry.started,
-            cap,
-            pace: 1.0,
-            relative: 1.0,
-            ..Server::default()
-        });
-        if server.started != entry.started {
-            // The same machine, started anew, and cold: what was learnt of it no longer holds.
-            (server.started, server.cap, server.pace, server.relative) = (entry.started, cap, 1.0, 1.0);
-            server.lost = 0.0;
+        let server = self.servers.entry(entry.server.clone()).or_default();
+        if server.cap == 0.0 || server.started != entry.started {
+            // New, or the same machine started anew: what was learnt of it no longer holds.
+            let (out, started) = (server.out, entry.started);
+            *server = Server { started, out, cap, pace: 1.0, relative: 1.0, ..Server::default() };
         }
         (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
         server.ready = entry.state == State::Ready;
@@ -579,15 +567,15 @@
         };
         let weigh = |(id, server): (&Id, &Server)| {
             // What loses its trips, dead or unreachable, gets few, but always some, to show that it is back.
-            let works = (1.0 - server.lost).max(0.1).powi(2) * self.share(server, now);
-            (id.clone(), server.rating.max(0.01) * works / server.relative)
+            let works = (1.0 - server.lost).max(LEAST_TRUST).powi(2) * self.share(server, now);
+            (id.clone(), server.rating.max(ROUNDING) * works / server.relative)
         };
         let chosen: Vec<(Id, f64)> = self.servers.iter().filter(fits).map(weigh).collect();
         let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
         let mut best: Option<(Id, f64)> = None;
         for (id, weight) in chosen {
             let server = self.servers.get_mut(&id).expect("chosen from these");
-            server.credit = (server.credit + weight / sum).min(2.0);
+            server.credit = (server.credit + weight / sum).min(MOST_TURNS);
             if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
                 best = Some((id, server.credit));
             }
@@ -622,7 +610,6 @@
         if overdue && !matches!(end.outcome, Outcome::Full | Outcome::NeverSent) {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
             server.lost += NEWEST / 2.0 * (lost - server.lost);
-            self.lost += NEWEST / 20.0 * (lost - self.lost);
         }
         match end.outcome {
             Outcome::Ok => {
@@ -680,9 +667,9 @@
             self.sent += 1;
         }
         // A lost answer would hold its place at the server, and its client, until the hard stop.
-        let lossy = server.lost > LOSSY && server.lost > LOSSIER * self.lost;
         let lost = (LOST * self.idle[lane].min(self.usual[lane]) * server.relative.max(1.0)) as Micros;
         let again = self.settings.lanes[lane].kind != Kind::Irreversible && self.further >= 1.0;
+        let short = again && server.lost > LOSSY;
         let open = self.open.get_mut(id).expect("open");
         let (first, units) = (open.trips.is_empty(), open.asked.units);
         if first {
@@ -692,7 +679,7 @@
             self.dues.insert((open.due, id.clone()));
         }
         let left = open.hard_stop - MARGIN / 2 - now;
-        let limit = if lossy && again { left.min(lost) } else { left };
+        let limit = if short { left.min(lost) } else { left };
         open.trips.push(Trip { server: to.clone(), sent: now, group, live: true, may_have_run: true });
         self.host.send(id, &to, limit);
         let customer_id = open.asked.customer.clone();
