--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,8 +70,10 @@
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
-/// Age, µs, over which what others had out at a customer is trusted less and less: some answer times.
+/// Age, µs, over which what others had out at a customer is trusted less and less, and time over which the mean
+/// of what is out here is taken: some answer times, and many.
 const OUT_TRUST: Micros = SECOND;
+const OUT_MEAN: Micros = 5 * SECOND;
 
 #[derive(Default)]
 struct Server {
@@ -122,8 +124,10 @@
     part: f64,
     told: Option<Micros>,
     judged: Micros,
-    /// Trips out from here; what the shared count holds of them; what others had out, and when that was so.
+    /// Trips out from here, their mean, what the shared count holds of them; what others had out, and when.
     out: u32,
+    out_mean: f64,
+    out_moved: Micros,
     out_added: f64,
     out_adding: Option<f64>,
     out_span: u64,
@@ -260,7 +264,7 @@
         let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
         self.learn(&end, lane);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
-            customer.out = customer.out.saturating_sub(1);
+            customer.move_out(customer.out.saturating_sub(1), now);
             // The guess is put right; beyond the quota nothing had been taken from the store.
             customer.offered += settled;
             customer.store -= if within { settled } else { 0.0 };
@@ -472,6 +476,9 @@
     fn post(&mut self, id: &Id, now: Micros) {
         let Some(customer) = self.customers.get_mut(id) else { return };
         customer.due = None;
+        if customer.adding.is_some() || customer.offered == 0.0 && customer.carried == 0.0 {
+            return self.post_out(id, now);
+        }
         let span = now / SPAN;
         if customer.span != span {
             (customer.span, customer.known) = (span, 0.0);
@@ -485,6 +492,7 @@
         customer.adding = Some((amount, new));
         self.calls -= 1.0;
         self.host.add(&format!("q{span}:{id}"), amount, 2 * SPAN);
+        self.post_out(id, now);
     }
 
     /// Keeps the shared count of a customer's trips out in step with those from here.
@@ -499,7 +507,13 @@
             (customer.out_span, customer.out_added) = (span, 0.0);
         }
         let amount = f64::from(customer.out) - customer.out_added;
-        if amount != 0.0 {
+        if amount != 0.0 && self.calls < 1.0 {
+            // Calls for trips out must not crowd out those for units: both wait in turn.
+            if customer.due.is_none() {
+                customer.due = Some(now);
+                self.posts.insert((now, id.clone()));
+            }
+        } else if amount != 0.0 {
             customer.out_added += amount;
             customer.out_adding = Some(amount);
             self.calls -= 1.0;
@@ -685,7 +699,7 @@
         let customer_id = open.asked.customer.clone();
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.fill(&self.settings.plans[customer.plan], now);
-            customer.out += 1;
+            customer.move_out(customer.out + 1, now);
             customer.held -= if first { units } else { 0.0 };
         }
         self.post_out(&customer_id, now);
@@ -765,19 +779,19 @@
         self.filled = now;
     }
 
-    /// Whether one more trip keeps to the plan's cap; without word from the counter, to the even share of it.
+    /// Whether one more trip keeps to the plan's cap. The older the word of what others have out, the more they are
+    /// taken to have out as many as are usual here.
     fn out_within(&self, most: u32, now: Micros) -> bool {
-        let own = f64::from(self.out);
-        match self.out_told {
-            Some(told) => {
-                let trust = 1.0 - (now - told) as f64 / OUT_TRUST as f64;
-                own + (self.out_others * trust.max(0.0)).round() < f64::from(most)
-            }
-            None => {
-                let (spread, place) = (self.spread as u32, self.place.unwrap_or(u32::MAX));
-                own < f64::from(most / spread + u32::from(place < most % spread)).max(1.0)
-            }
-        }
+        let age = self.out_told.map_or(1.0, |told| (now - told) as f64 / OUT_TRUST as f64).min(1.0);
+        let usual = self.out_mean * (self.spread - 1.0);
+        f64::from(self.out) + ((1.0 - age) * self.out_others + age * usual).round() < f64::from(most)
+    }
+
+    /// Takes note of the trips now out.
+    fn move_out(&mut self, out: u32, now: Micros) {
+        let time = (now - self.out_moved) as f64 / OUT_MEAN as f64;
+        self.out_mean += (f64::from(self.out) - self.out_mean) * time.min(1.0);
+        (self.out, self.out_moved) = (out, now);
     }
 
     /// The page's store and fraction, from what all were offered since some time, and what others took of it.
