--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,6 +63,9 @@
 /// idle answer times; elsewhere long work would only be done twice.
 const LOSSY: f64 = 0.08;
 const LOST: f64 = 7.0;
+/// Rest, µs, of a server that has lost a trip, times the share that it loses. One that fails at once always has
+/// room, and would draw in all that finds none elsewhere.
+const REST: Micros = 2 * SECOND;
 /// Trust, from 0 to 1, that a server which loses all its trips keeps: its square is its share of the rotation.
 const LEAST_TRUST: f64 = 0.1;
 /// Turns that a server may save up while it has no room: more would come as a burst.
@@ -92,6 +95,7 @@
     relative: f64,
     /// Share of trips that never came back.
     lost: f64,
+    rests: Micros,
     credit: f64,
     /// Sends within the window in which a cold server can be pushed over.
     sends: VecDeque<Micros>,
@@ -262,7 +266,7 @@
         let (customer_id, lane, within) = (open.asked.customer.clone(), open.asked.lane, open.within);
         let settled = end.units.map_or(0.0, |units| units - open.asked.units);
         let (finished, others) = (open.answered || end.finished, open.trips.iter().any(|trip| trip.live));
-        self.learn(&end, lane);
+        self.learn(&end, lane, now);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.move_out(customer.out.saturating_sub(1), now);
             // The guess is put right; beyond the quota nothing had been taken from the store.
@@ -576,6 +580,7 @@
                 && (server.mine || bound.is_some())
                 && bound.is_none_or(|(group, until)| now < until && group == self.group(lane, server))
                 && f64::from(server.out) < server.cap
+                && server.rests <= now
                 && self.withstands(server, now)
                 && !trips.iter().any(|trip| trip.server == **id)
         };
@@ -614,7 +619,7 @@
     }
 
     /// What one trip's end tells of its server.
-    fn learn(&mut self, end: &Returned, lane: usize) {
+    fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
         let agreed = self.settings.lanes[lane].agreed as f64;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
@@ -623,7 +628,8 @@
         let overdue = end.outcome != Outcome::Cancelled || took > LOST * self.usual[lane];
         if overdue && !matches!(end.outcome, Outcome::Full | Outcome::NeverSent) {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
-            server.lost += NEWEST / 2.0 * (lost - server.lost);
+            server.lost += NEWEST * (lost - server.lost);
+            server.rests = now + (REST as f64 * lost * server.lost) as Micros;
         }
         match end.outcome {
             Outcome::Ok => {
