--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,7 +71,6 @@
     /// The longest wait that a nack may advise; 0 where clients hear of none.
     pub longest_wait: Micros,
     pub counter: bool,
-    pub settles: bool,
     /// The list of servers comes only to those who ask, and must be asked for within this time.
     pub list_on_request: Option<Micros>,
     /// A fresh server's share of its full capacity, the time in which it is warm, and the push that fells it:
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,7 @@
 //! happened: `transaction`, `returned`, `dropped`, `counted`, `list`, `alarm` and so on. The module answers by
 //! calling the host, in order, before the method returns. Types and the host are in `interface.rs`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -30,7 +30,7 @@
 const QUIET: Micros = 30 * SECOND;
 /// Units by which a total may miss what this gateway itself knows it to hold, for rounding in the counter.
 const ROUNDING: f64 = 0.01;
-/// What settling may take off a total at most, as what it leaves, a share: more is a loss.
+/// What settling surely leaves of a total, a share: what lacks more has been lost.
 const SETTLED: f64 = 0.5;
 /// The least part of all traffic that a gateway takes for its own, in even parts: it bounds what is guessed.
 const LEAST_PART: f64 = 0.25;
@@ -66,17 +66,11 @@
 /// Rest, µs, of a server that has lost a trip, times the share that it loses. One that fails at once always has
 /// room, and would draw in all that finds none elsewhere.
 const REST: Micros = 2 * SECOND;
-/// Trust, from 0 to 1, that a server which loses all its trips keeps: its square is its share of the rotation.
-const LEAST_TRUST: f64 = 0.1;
-/// Turns that a server may save up while it has no room: more would come as a burst.
-const MOST_TURNS: f64 = 2.0;
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
-/// Age, µs, over which what others had out at a customer is trusted less and less, and time over which the mean
-/// of what is out here is taken: some answer times, and many.
+/// Age, µs, over which what others had out at a customer is trusted less and less: some answer times.
 const OUT_TRUST: Micros = SECOND;
-const OUT_MEAN: Micros = 5 * SECOND;
 
 #[derive(Default)]
 struct Server {
@@ -98,7 +92,7 @@
     rests: Micros,
     credit: f64,
     /// Sends within the window in which a cold server can be pushed over.
-    sends: VecDeque<Micros>,
+    sends: Vec<Micros>,
 }
 
 #[derive(Default)]
@@ -226,10 +220,9 @@
         let within = self.meter(&arrived, now);
         let plan = &self.settings.plans[arrived.plan];
         let value = if within { 1.0 } else { plan.over_worth - plan.over_cost };
-        let wait = self.settings.longest_wait;
         let crowded = !within && (self.fill().0 > SPARE || !self.waiting.is_empty());
         if value <= 0.0 || crowded || arrived.left <= MARGIN || !self.under_ceiling(&arrived) {
-            return self.host.nack(&arrived.id, wait);
+            return self.host.nack(&arrived.id, self.settings.longest_wait);
         }
         let hold = (HOLD * self.settings.lanes[arrived.lane].agreed as f64) as Micros;
         let (id, hard_stop) = (arrived.id.clone(), now + arrived.left);
@@ -297,7 +290,7 @@
             self.dues.pop_first();
             self.give_up(&id);
         }
-        let more = self.call_rate * TICK as f64 / SECOND as f64;
+        let more = self.call_rate * seconds(TICK);
         self.calls = (self.calls + more).min(1.0 + more);
         let may = |this: &Self, at: Micros| at <= now && this.calls >= 1.0;
         while let Some((_, id)) = self.posts.first().filter(|(at, _)| may(self, *at)).cloned() {
@@ -308,17 +301,11 @@
         if now >= self.looked + SECOND {
             let used = self.servers.values().filter(|server| server.ready && server.mine);
             if let count @ 1.. = used.filter(|server| self.share(server, now) >= 1.0).count() {
-                let rate = f64::from(self.sent) / count as f64 * SECOND as f64 / (now - self.looked) as f64;
+                let rate = f64::from(self.sent) / count as f64;
                 self.carried += if self.carried == 0.0 { rate } else { NEWEST * (rate - self.carried) };
             }
             (self.looked, self.sent) = (now, 0);
-            let plans = &self.settings.plans;
-            self.customers.retain(|_, customer| {
-                // Forgotten sooner, a part of a ceiling would come back full before its time.
-                let ceiling = plans[customer.plan].ceiling.unwrap_or_default();
-                let refill = (ceiling.burst / ceiling.rate.max(1e-3)) as Micros * SECOND;
-                customer.out > 0 || customer.filled + QUIET.max(refill) > now
-            });
+            self.customers.retain(|_, customer| customer.out > 0 || customer.filled + QUIET > now);
         }
     }
 
@@ -382,7 +369,7 @@
         let plan = &self.settings.plans[customer.plan];
         customer.fill(plan, now);
         // A total without what was known to be in it has been lost: it tells nothing, least of all room.
-        let least = if self.settings.settles { SETTLED } else { 1.0 } * customer.known + amount - ROUNDING;
+        let least = SETTLED * customer.known + amount - ROUNDING;
         let others = (total - customer.known - amount).max(0.0);
         match outcome {
             Outcome::Ok => customer.known = total,
@@ -393,19 +380,18 @@
         if outcome != Outcome::Ok || total < least {
             customer.guess(new, plan, now);
         } else {
-            let span_age = now % SPAN;
+            let (span_age, taken) = (now % SPAN, others * customer.passing);
             let since = customer.told.unwrap_or(now - span_age);
-            let taken = others * customer.passing;
             if customer.told.is_none() {
-                let refill = plan.rate * span_age as f64 / SECOND as f64;
+                let refill = plan.rate * seconds(span_age);
                 customer.store = (plan.burst + refill - total).min(plan.burst) + taken;
             }
             customer.told = Some(now);
             customer.judge(amount + others, taken, since, plan, now);
             if amount > 0.0 {
                 let part = amount / (amount + others);
-                customer.part =
-                    (customer.part + NEWEST * (part - customer.part)).max(LEAST_PART / customer.spread);
+                customer.part += NEWEST * (part - customer.part);
+                customer.part = customer.part.max(LEAST_PART / customer.spread);
             }
         }
         if customer.offered != 0.0 || customer.carried != 0.0 {
@@ -445,9 +431,9 @@
                 passing: 1.0,
                 draw: chance.gen(),
                 part: even,
-                // Kept alone, by the even part, which is empty at a gateway's start: one that was killed may have
-                // used it up.
-                ceiling: plan.ceiling.map_or(0.0, |ceiling| ceiling.rate * even * age as f64 / SECOND as f64),
+                // Kept alone, by the even part: empty at a gateway's start, for one that was killed may have used
+                // it up, and no fuller than a customer can be who was forgotten.
+                ceiling: plan.ceiling.map_or(0.0, |ceiling| ceiling.rate * even * seconds(age.min(QUIET))),
                 ..Customer::default()
             }
         });
@@ -560,7 +546,7 @@
         }
         let window = self.settings.fall_window;
         let recent = server.sends.iter().rev().take_while(|at| **at + window > now).count();
-        let can = share * self.carried * window as f64 / SECOND as f64;
+        let can = share * self.carried * seconds(window);
         ((recent + 1) as f64) <= (COLD_USE * self.settings.fall_multiple * can).max(1.0)
     }
 
@@ -585,16 +571,14 @@
                 && !trips.iter().any(|trip| trip.server == **id)
         };
         let weigh = |(id, server): (&Id, &Server)| {
-            // What loses its trips, dead or unreachable, gets few, but always some, to show that it is back.
-            let works = (1.0 - server.lost).max(LEAST_TRUST).powi(2) * self.share(server, now);
-            (id.clone(), server.rating.max(ROUNDING) * works / server.relative)
+            (id.clone(), server.rating.max(ROUNDING) * self.share(server, now) / server.relative)
         };
         let chosen: Vec<(Id, f64)> = self.servers.iter().filter(fits).map(weigh).collect();
         let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
         let mut best: Option<(Id, f64)> = None;
         for (id, weight) in chosen {
             let server = self.servers.get_mut(&id).expect("chosen from these");
-            server.credit = (server.credit + weight / sum).min(MOST_TURNS);
+            server.credit += weight / sum;
             if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
                 best = Some((id, server.credit));
             }
@@ -621,6 +605,8 @@
     /// What one trip's end tells of its server.
     fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
         let agreed = self.settings.lanes[lane].agreed as f64;
+        let all: f64 = self.servers.values().map(|server| server.lost).sum();
+        let mean = all / self.servers.len().max(1) as f64;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
         let took = end.took as f64;
@@ -629,7 +615,9 @@
         if overdue && !matches!(end.outcome, Outcome::Full | Outcome::NeverSent) {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
             server.lost += NEWEST * (lost - server.lost);
-            server.rests = now + (REST as f64 * lost * server.lost) as Micros;
+            // Where all lose as many the fault is elsewhere, and none is cast out.
+            let worse = (server.lost - mean).max(0.0);
+            server.rests = now + (REST as f64 * lost * worse) as Micros;
         }
         match end.outcome {
             Outcome::Ok => {
@@ -679,10 +667,8 @@
         server.out += 1;
         server.credit -= 1.0;
         if cold {
-            server.sends.push_back(now);
-            while server.sends.front().is_some_and(|at| at + self.settings.fall_window < now) {
-                server.sends.pop_front();
-            }
+            server.sends.push(now);
+            server.sends.retain(|at| at + self.settings.fall_window > now);
         } else {
             self.sent += 1;
         }
@@ -770,7 +756,7 @@
 impl Customer {
     /// Lets the store and the part of the ceiling refill up to now.
     fn fill(&mut self, plan: &Plan, now: Micros) {
-        let time = (now - self.filled) as f64 / SECOND as f64;
+        let time = seconds(now - self.filled);
         let shared = if self.told.is_some() { 1.0 } else { 1.0 / self.spread };
         self.store = (self.store + plan.rate * shared * time).min(plan.burst);
         if self.store >= plan.burst {
@@ -795,7 +781,7 @@
 
     /// Takes note of the trips now out.
     fn move_out(&mut self, out: u32, now: Micros) {
-        let time = (now - self.out_moved) as f64 / OUT_MEAN as f64;
+        let time = (now - self.out_moved) as f64 / SPAN as f64;
         self.out_mean += (f64::from(self.out) - self.out_mean) * time.min(1.0);
         (self.out, self.out_moved) = (out, now);
     }
@@ -805,7 +791,7 @@
         let periods = ((now - since) as f64 / PERIOD as f64).max(1e-6);
         self.demand = self.demand * (1.0 - periods).max(0.0) + all / periods.max(1.0);
         self.store = (self.store - taken).max(0.0);
-        let refill = plan.rate * PERIOD as f64 / SECOND as f64;
+        let refill = plan.rate * seconds(PERIOD);
         self.fraction = if self.demand > 0.0 { ((refill + self.store) / self.demand).min(1.0) } else { 1.0 };
         self.judged = now;
     }
@@ -819,3 +805,7 @@
         self.judge(new + others, taken, self.judged, plan, now);
     }
 }
+
+fn seconds(time: Micros) -> f64 {
+    time as f64 / SECOND as f64
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -92,7 +92,6 @@
         may_probe: false,
         longest_wait: 500 * MS,
         counter: true,
-        settles: false,
         list_on_request: None,
         cold_share: 0.2,
         warm_up: 10_000 * MS,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -26,10 +26,12 @@
 fn a_refused_call_for_trips_out_is_not_repeated_at_once() {
     let plan = Plan { rate: 0.0, burst: 0.0, most_out: 4, ..wide() };
     let mut bed = Bed::new(settings(Kind::Redoable, plan), 4);
+    bed.pass(50 * MS);
     bed.ask("c", 2_000 * MS);
     let added = adds(&bed.did());
     assert_eq!(added.len(), 1);
     bed.gateway.counted(&added[0].0, Outcome::Full, 0.0, MS);
+    bed.pass(50 * MS);
     assert_eq!(adds(&bed.did()), []);
 }
 
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -103,7 +103,6 @@
             0
         },
         counter: on("specifics.sharedCounter")?,
-        settles: on("specifics.settles")?,
         list_on_request: match line.fields.get("discovery") {
             Some(&"on_request") => Some(line.time_or("rules.askWithinMs", 0)?),
             _ => None,
