--- a/src/policy.rs
+++ b/src/policy.rs
@@ -69,8 +69,9 @@
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
-/// Age, µs, over which what others had out at a customer is trusted less and less: some answer times.
+/// Age, µs, over which what others had out at a customer is trusted less, and time of the mean of those from here.
 const OUT_TRUST: Micros = SECOND;
+const OUT_MEAN: Micros = 3 * SECOND;
 
 #[derive(Default)]
 struct Server {
@@ -781,7 +782,7 @@
 
     /// Takes note of the trips now out.
     fn move_out(&mut self, out: u32, now: Micros) {
-        let time = (now - self.out_moved) as f64 / SPAN as f64;
+        let time = (now - self.out_moved) as f64 / OUT_MEAN as f64;
         self.out_mean += (f64::from(self.out) - self.out_mean) * time.min(1.0);
         (self.out, self.out_moved) = (out, now);
     }
