--- a/src/policy.rs
+++ b/src/policy.rs
@@ -381,8 +381,11 @@
         if outcome != Outcome::Ok || total < least {
             customer.guess(new, plan, now);
         } else {
-            let (span_age, taken) = (now % SPAN, others * customer.passing);
+            let span_age = now % SPAN;
             let since = customer.told.unwrap_or(now - span_age);
+            // What was guessed since the last word is taken already.
+            let untaken = (now - customer.judged) as f64 / (now - since).max(1) as f64;
+            let taken = others * customer.passing * untaken.min(1.0);
             if customer.told.is_none() {
                 let refill = plan.rate * seconds(span_age);
                 customer.store = (plan.burst + refill - total).min(plan.burst) + taken;
