--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,8 @@
 //! Every decision of one gateway.
 //!
 //! The caller makes a [`Gateway`] with its settings and a [`Host`], then calls the method named after what
-//! happened: `transaction`, `returned`, `dropped`, `counted`, `list`, `alarm` and so on. The module answers by
-//! calling the host, in order, before the method returns. Types and the host are in `interface.rs`.
+//! happened: `transaction`, `returned`, `dropped`, `counted`, `list`, `alarm` and so on. The module answers
+//! by calling the host, in order, before the method returns. Types and the host are in `interface.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -19,12 +19,12 @@
 const MARGIN: Micros = 2 * TICK;
 /// The period of the fraction, µs: the shorter, the less of a surge passes, and the more calls are made.
 const PERIOD: Micros = 200_000;
-/// Calls to the counter a second: at first, at the least, and what an answer adds. A counter asked more than it
-/// can do works on calls that nobody waits for any more, and so answers none.
+/// Calls to the counter a second: at first, at the least, and what an answer adds. A counter asked more than
+/// it can do works on calls that nobody waits for any more, and so answers none.
 const FIRST_CALLS: f64 = 80.0;
 const LEAST_CALLS: f64 = 15.0;
 const MORE_CALLS: f64 = 0.2;
-/// Time that one name of a count stands for, µs: many periods, yet what a killed gateway left is soon forgotten.
+/// Time that one name of a count stands for, µs: many periods, yet what a killed gateway left is soon gone.
 const SPAN: Micros = 10 * SECOND;
 /// Customers unheard of for this long, µs, are forgotten: any burst has refilled by then.
 const QUIET: Micros = 30 * SECOND;
@@ -32,19 +32,22 @@
 const ROUNDING: f64 = 0.01;
 /// What settling surely leaves of a total, a share: what lacks more has been lost.
 const SETTLED: f64 = 0.5;
-/// The least part of all traffic that a gateway takes for its own, in even parts: it bounds what is guessed.
+/// The least part of all traffic that a gateway takes for its own, in even parts: it bounds its guesses.
 const LEAST_PART: f64 = 0.25;
-/// Weight of the newest sample in a mean, from 0 to 1: some ten samples count, or three where all hangs on now.
+/// Weight of the newest sample in a mean: of a server or a customer, of what changes with each call, and of a
+/// lane, or a server beside the others; some ten, two and fifty samples count.
 const NEWEST: f64 = 0.1;
-const LATEST: f64 = 0.3;
+const LATEST: f64 = 0.5;
+const STEADY: f64 = 0.02;
+/// An answer slower than so many times the usual counts as that slow: a monster does not make a slow server.
+const MONSTER: f64 = 10.0;
 /// Gateways to a server, beyond which one trip from each overdrives it, and the fewest servers to a gateway.
 const SHARED_BY: usize = 2;
 const FEWEST: usize = 8;
-/// Trips in flight that a server starts with, warm and fresh: a few cores' worth, and the least to learn from.
+/// Trips in flight that a warm server starts with; a fresh one starts with one, the least to learn from.
 const FIRST_CAP: f64 = 2.0;
-const FRESH_CAP: f64 = 1.0;
-/// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: few cores idle, and no
-/// server is driven so hard that it grows slow and stays so.
+/// Answer time, as a multiple of what an idle fleet takes, at which a cap stops growing: few cores idle, and
+/// no server is driven so hard that it grows slow and stays so.
 const STRETCH: f64 = 1.15;
 /// Share of its agreed time that a lane is taken to need until answers tell.
 const USUAL: f64 = 0.2;
@@ -54,7 +57,7 @@
 const BACK_OFF: f64 = 0.8;
 /// Fill of the caps up to which what is beyond its quota, but pays, may be sent on.
 const SPARE: f64 = 0.7;
-/// What may wait here, as a share of all caps, and how long, as a share of the agreed time: it evens out chance.
+/// What may wait here, as a share of all caps, and how long, as one of the agreed time: to even out chance.
 const QUEUE: f64 = 0.5;
 const HOLD: f64 = 0.25;
 /// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
@@ -63,13 +66,12 @@
 /// idle answer times; elsewhere long work would only be done twice.
 const LOSSY: f64 = 0.08;
 const LOST: f64 = 7.0;
-/// Rest, µs, of a server that has lost a trip, times the share that it loses. One that fails at once always has
-/// room, and would draw in all that finds none elsewhere.
+/// Rest, µs, of a server that lost a trip, times the share it loses: one that fails at once draws in all.
 const REST: Micros = 2 * SECOND;
 /// Further trips earned by each first one, and the most that may be saved: a small share of the load.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
-/// Age, µs, over which what others had out at a customer is trusted less, and time of the mean of those from here.
+/// Age, µs, over which what others had out is trusted less and less, and time of the mean of those from here.
 const OUT_TRUST: Micros = SECOND;
 const OUT_MEAN: Micros = 3 * SECOND;
 
@@ -77,23 +79,21 @@
 struct Server {
     zone: u32,
     cell: u32,
+    /// Takes new trips, and is among those that this gateway uses.
     ready: bool,
-    /// Among those that this gateway uses.
     mine: bool,
     rating: f64,
     started: Option<Micros>,
-    /// Trips in flight, and the most there may be.
     out: u32,
     cap: f64,
     /// Answer times: beside what the lane takes on an idle fleet, and beside what it takes on this one now.
     pace: f64,
     relative: f64,
-    /// Share of trips that never came back.
+    /// Share of trips that never came back, and the end of the rest after the last one.
     lost: f64,
     rests: Micros,
     credit: f64,
-    /// Sends within the window in which a cold server can be pushed over.
-    sends: Vec<Micros>,
+    cold_sends: Vec<Micros>,
 }
 
 #[derive(Default)]
@@ -106,7 +106,7 @@
     filled: Micros,
     fraction: f64,
     draw: f64,
-    /// Units that left of those offered since the last call, and the share that does, of late: the others' too.
+    /// Units that left of those offered since the last call, and the share that does: the others' too.
     left: f64,
     passing: f64,
     /// Units offered here that no call has told of, those whose call was turned away, and the call under way:
@@ -117,9 +117,8 @@
     due: Option<Micros>,
     span: u64,
     known: f64,
-    /// Units offered by all within about a period.
+    /// Units offered to all within about a period, and this gateway's part of them.
     demand: f64,
-    /// This gateway's part of what all were offered.
     part: f64,
     told: Option<Micros>,
     judged: Micros,
@@ -148,10 +147,8 @@
 struct Open {
     asked: Transaction,
     within: bool,
-    /// Place in the queue, the most rewarding first.
     rank: (i64, Micros, Id),
     hard_stop: Micros,
-    /// When something must be done about it at the latest.
     due: Micros,
     trips: Vec<Trip>,
     answered: bool,
@@ -263,7 +260,6 @@
         self.learn(&end, lane, now);
         if let Some(customer) = self.customers.get_mut(&customer_id) {
             customer.move_out(customer.out.saturating_sub(1), now);
-            // The guess is put right; beyond the quota nothing had been taken from the store.
             customer.offered += settled;
             customer.store -= if within { settled } else { 0.0 };
         }
@@ -293,8 +289,9 @@
         }
         let more = self.call_rate * seconds(TICK);
         self.calls = (self.calls + more).min(1.0 + more);
-        let may = |this: &Self, at: Micros| at <= now && this.calls >= 1.0;
-        while let Some((_, id)) = self.posts.first().filter(|(at, _)| may(self, *at)).cloned() {
+        while let Some((_, id)) =
+            self.posts.first().filter(|(at, _)| *at <= now && self.calls >= 1.0).cloned()
+        {
             self.posts.pop_first();
             self.post(&id, now);
         }
@@ -313,12 +310,8 @@
     /// The whole list of servers, or changes to it.
     pub fn list(&mut self, full: bool, entries: &[Listed]) {
         let now = self.host.now();
-        if full {
-            self.servers.values_mut().for_each(|server| server.ready = false);
-        }
-        for entry in entries {
-            self.enlist(entry, now);
-        }
+        self.servers.values_mut().for_each(|server| server.ready &= !full);
+        entries.iter().for_each(|entry| self.enlist(entry, now));
         self.servers.retain(|_, server| server.ready || server.out > 0);
         // Too many gateways for the servers: each takes every n-th of the sorted list, from its own start.
         let ready = self.servers.values().filter(|server| server.ready).count();
@@ -353,16 +346,14 @@
         if kind.starts_with('o') {
             let Some(amount) = customer.out_adding.take() else { return };
             customer.out_told = Some(now).filter(|_| outcome == Outcome::Ok);
-            match outcome {
-                Outcome::Ok => {
-                    // A total below what is out from here was lost; the next call adds it again.
-                    customer.out_added = customer.out_added.min(total.max(0.0));
-                    customer.out_others = total - customer.out_added;
-                    self.post_out(&id, now);
-                }
+            if outcome == Outcome::Ok {
+                // A total below what is out from here was lost; the next call adds it again.
+                customer.out_added = customer.out_added.min(total.max(0.0));
+                customer.out_others = total - customer.out_added;
+                self.post_out(&id, now);
+            } else if outcome != Outcome::TimedOut {
                 // A counter that turns calls away must not be asked again at once, or without end.
-                Outcome::TimedOut => {}
-                _ => customer.out_added -= amount,
+                customer.out_added -= amount;
             }
             return;
         }
@@ -435,8 +426,8 @@
                 passing: 1.0,
                 draw: chance.gen(),
                 part: even,
-                // Kept alone, by the even part: empty at a gateway's start, for one that was killed may have used
-                // it up, and no fuller than a customer can be who was forgotten.
+                // Kept alone, by the even part: empty at first, as a gateway that was killed may have used it
+                // up, and no fuller than that of a customer who was forgotten.
                 ceiling: plan.ceiling.map_or(0.0, |ceiling| ceiling.rate * even * seconds(age.min(QUIET))),
                 ..Customer::default()
             }
@@ -479,10 +470,8 @@
         }
         let new = std::mem::take(&mut customer.offered);
         let amount = new + std::mem::take(&mut customer.carried);
-        if new > 0.0 {
-            let share = (std::mem::take(&mut customer.left) / new).clamp(0.0, 1.0);
-            customer.passing += LATEST * (share - customer.passing);
-        }
+        let share = (std::mem::take(&mut customer.left) / new.max(ROUNDING)).clamp(0.0, 1.0);
+        customer.passing += LATEST * (share - customer.passing);
         customer.adding = Some((amount, new));
         self.calls -= 1.0;
         self.host.add(&format!("q{span}:{id}"), amount, 2 * SPAN);
@@ -524,7 +513,7 @@
 
     fn enlist(&mut self, entry: &Listed, now: Micros) {
         let cold = entry.started.is_some_and(|at| now < at + self.settings.warm_up);
-        let cap = if cold { FRESH_CAP } else { FIRST_CAP };
+        let cap = if cold { 1.0 } else { FIRST_CAP };
         let server = self.servers.entry(entry.server.clone()).or_default();
         if server.cap == 0.0 || server.started != entry.started {
             // New, or the same machine started anew: what was learnt of it no longer holds.
@@ -549,7 +538,7 @@
             return true;
         }
         let window = self.settings.fall_window;
-        let recent = server.sends.iter().rev().take_while(|at| **at + window > now).count();
+        let recent = server.cold_sends.iter().rev().take_while(|at| **at + window > now).count();
         let can = share * self.carried * seconds(window);
         ((recent + 1) as f64) <= (COLD_USE * self.settings.fall_multiple * can).max(1.0)
     }
@@ -609,8 +598,8 @@
     /// What one trip's end tells of its server.
     fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
         let agreed = self.settings.lanes[lane].agreed as f64;
-        let all: f64 = self.servers.values().map(|server| server.lost).sum();
-        let mean = all / self.servers.len().max(1) as f64;
+        let all = self.servers.values().map(|server| server.lost);
+        let mean = all.sum::<f64>() / self.servers.len().max(1) as f64;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
         let took = end.took as f64;
@@ -625,11 +614,11 @@
         }
         match end.outcome {
             Outcome::Ok => {
-                self.usual[lane] += NEWEST / 5.0 * (took.min(2.0 * agreed) - self.usual[lane]);
+                self.usual[lane] += STEADY * (took.min(2.0 * agreed) - self.usual[lane]);
                 let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
                 *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
-                server.pace += NEWEST * ((took / *idle).min(10.0) - server.pace);
-                server.relative += NEWEST / 2.0 * ((took / usual).clamp(0.1, 10.0) - server.relative);
+                server.pace += NEWEST * ((took / *idle).min(MONSTER) - server.pace);
+                server.relative += STEADY * ((took / usual).min(MONSTER) - server.relative);
                 // A slow machine is not an overdriven one: it is measured by its own speed.
                 let change = (1.0 - server.pace / server.relative / STRETCH).max(-1.0) / server.cap;
                 if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
@@ -671,8 +660,8 @@
         server.out += 1;
         server.credit -= 1.0;
         if cold {
-            server.sends.push(now);
-            server.sends.retain(|at| at + self.settings.fall_window > now);
+            server.cold_sends.push(now);
+            server.cold_sends.retain(|at| at + self.settings.fall_window > now);
         } else {
             self.sent += 1;
         }
@@ -704,8 +693,8 @@
     /// After a trip that did not succeed: another where the lane and the time allow it, else the end.
     fn go_on(&mut self, id: &Id, now: Micros) {
         let Some(open) = self.open.get_mut(id) else { return };
-        let ran = open.trips.iter().any(|trip| trip.may_have_run);
-        let may = !ran || self.settings.lanes[open.asked.lane].kind != Kind::Irreversible;
+        let may = !open.trips.iter().any(|trip| trip.may_have_run)
+            || self.settings.lanes[open.asked.lane].kind != Kind::Irreversible;
         let in_time = now + self.usual[open.asked.lane] as Micros + MARGIN < open.hard_stop;
         if may && in_time && self.further >= 1.0 && open.trips.len() < self.settings.most_trips as usize {
             let (lane, trips) = (open.asked.lane, std::mem::take(&mut open.trips));
@@ -768,22 +757,21 @@
             self.fraction = 1.0;
         }
         if let Some(Ceiling { rate, burst }) = plan.ceiling {
-            // What waits leaves later: meanwhile its part must not fill up again, or both could leave at once.
+            // What waits leaves later: were its part to fill up meanwhile, both could leave at once.
             let most = burst / self.spread - self.held;
             self.ceiling = (self.ceiling + rate / self.spread * time).min(most);
         }
         self.filled = now;
     }
 
-    /// Whether one more trip keeps to the plan's cap. The older the word of what others have out, the more they are
-    /// taken to have out as many as are usual here.
+    /// Whether one more trip keeps to the plan's cap. The older the word of what others have out, the more
+    /// they are taken to have out what is usual here.
     fn out_within(&self, most: u32, now: Micros) -> bool {
         let age = self.out_told.map_or(1.0, |told| (now - told) as f64 / OUT_TRUST as f64).min(1.0);
         let usual = self.out_mean * (self.spread - 1.0);
         f64::from(self.out) + ((1.0 - age) * self.out_others + age * usual).round() < f64::from(most)
     }
 
-    /// Takes note of the trips now out.
     fn move_out(&mut self, out: u32, now: Micros) {
         let time = (now - self.out_moved) as f64 / OUT_MEAN as f64;
         self.out_mean += (f64::from(self.out) - self.out_mean) * time.min(1.0);
