--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,7 @@
 const USUAL: f64 = 0.2;
 /// How fast the idle answer time may rise, a share for each answer: faster, a jam would pass for the usual.
 const RISE: f64 = 0.002;
-/// What a rejection leaves of a cap, and a call in vain of the rate of calls, a factor.
+/// What a call in vain leaves of the rate of calls, a factor, at most once a period.
 const BACK_OFF: f64 = 0.8;
 /// Fill of the caps up to which what is beyond its quota, but pays, may be sent on.
 const SPARE: f64 = 0.7;
@@ -603,30 +603,26 @@
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = server.out.saturating_sub(1);
         let took = end.took as f64;
-        // A trip cancelled early, or turned away, tells nothing of what becomes of those that are taken.
+        // A trip cancelled early tells nothing of what becomes of those that are waited for.
         let overdue = end.outcome != Outcome::Cancelled || took > LOST * self.usual[lane];
-        if overdue && !matches!(end.outcome, Outcome::Full | Outcome::NeverSent) {
+        if overdue && end.outcome != Outcome::NeverSent {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
             server.lost += NEWEST * (lost - server.lost);
             // Where all lose as many the fault is elsewhere, and none is cast out.
             let worse = (server.lost - mean).max(0.0);
             server.rests = now + (REST as f64 * lost * worse) as Micros;
         }
-        match end.outcome {
-            Outcome::Ok => {
-                self.usual[lane] += STEADY * (took.min(2.0 * agreed) - self.usual[lane]);
-                let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
-                *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
-                server.pace += NEWEST * ((took / *idle).min(MONSTER) - server.pace);
-                server.relative += STEADY * ((took / usual).min(MONSTER) - server.relative);
-                // A slow machine is not an overdriven one: it is measured by its own speed.
-                let change = (1.0 - server.pace / server.relative / STRETCH).max(-1.0) / server.cap;
-                if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
-                    server.cap = (server.cap + change).max(1.0);
-                }
+        if end.outcome == Outcome::Ok {
+            self.usual[lane] += STEADY * (took.min(2.0 * agreed) - self.usual[lane]);
+            let (idle, usual) = (&mut self.idle[lane], self.usual[lane]);
+            *idle = if usual < *idle { usual } else { *idle + RISE * (usual - *idle) };
+            server.pace += NEWEST * ((took / *idle).min(MONSTER) - server.pace);
+            server.relative += STEADY * ((took / usual).min(MONSTER) - server.relative);
+            // A slow machine is not an overdriven one: it is measured by its own speed.
+            let change = (1.0 - server.pace / server.relative / STRETCH).max(-1.0) / server.cap;
+            if change < 0.0 || f64::from(server.out) + 2.0 > server.cap {
+                server.cap = (server.cap + change).max(1.0);
             }
-            Outcome::Full => server.cap = (server.cap * BACK_OFF).max(1.0),
-            _ => {}
         }
     }
 
