--- a/src/interface.rs
+++ b/src/interface.rs
@@ -60,14 +60,11 @@
     pub seed: u64,
     pub me: u32,
     pub gateways: u32,
-    pub zone: u32,
     pub lanes: Vec<Lane>,
     pub plans: Vec<Plan>,
-    /// Trips one transaction may make, and whether two of them may be out together.
+    /// Trips one transaction may make; the module never has two of them out together.
     pub most_trips: u32,
-    pub second_copies: bool,
     pub may_cancel: bool,
-    pub may_probe: bool,
     /// The longest wait that a nack may advise; 0 where clients hear of none.
     pub longest_wait: Micros,
     pub counter: bool,
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -88,15 +88,12 @@
         seed: line.whole("prng")?,
         me: line.whole_or("me", 0)? as u32,
         gateways: line.whole_or("balancers", 1)? as u32,
-        zone: line.whole_or("myZone", 0)? as u32,
         lanes: (0..line.whole_or("lanes.count", 0)?).map(|at| lane(line, at)).collect::<Parsed<_>>()?,
         plans: (0..line.whole_or("tiersOfService.count", 0)?)
             .map(|at| plan(line, at))
             .collect::<Parsed<_>>()?,
         most_trips: line.whole_or("ceilings.sendCap", 1)? as u32,
-        second_copies: on("ceilings.secondCopies")?,
         may_cancel: on("ceilings.cancel")?,
-        may_probe: on("ceilings.probing")?,
         longest_wait: if on("ceilings.retryAfter")? {
             line.time_or("ceilings.maxRetryAfterMs", 0)?
         } else {
