--- a/src/policy.rs
+++ b/src/policy.rs
@@ -82,6 +82,7 @@
     /// Takes new trips, and is among those that this gateway uses.
     ready: bool,
     mine: bool,
+    step: usize,
     rating: f64,
     started: Option<Micros>,
     out: u32,
@@ -317,8 +318,9 @@
         let ready = self.servers.values().filter(|server| server.ready).count();
         let step = (self.settings.gateways as usize / SHARED_BY).min(ready / FEWEST).max(1);
         let ready = self.servers.values_mut().filter(|server| server.ready);
-        for (place, server) in ready.enumerate() {
-            server.mine = place % step == self.settings.me as usize % step;
+        // What has been dealt stays so, or each change of the list would move every gateway to other servers.
+        for (place, server) in ready.enumerate().filter(|(_, server)| server.step != step) {
+            (server.mine, server.step) = (place % step == self.settings.me as usize % step, step);
         }
     }
 
