--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -234,3 +234,21 @@
     }
     assert!(calls[1] * 4 > calls[0], "{calls:?} calls for trips out and for units");
 }
+
+#[test]
+fn a_growing_list_moves_no_gateway_to_other_servers() {
+    let mut bed = Bed::new(Settings { gateways: 8, ..settings(Kind::Redoable, wide()) }, 32);
+    let used = |bed: &mut Bed| -> std::collections::BTreeSet<Id> {
+        (0..60).for_each(|_| drop(bed.ask("c", 300 * MS)));
+        let sent = sends(&bed.did()).into_iter().map(|(_, server)| server).collect();
+        bed.pass(400 * MS);
+        sent
+    };
+    let before = used(&mut bed);
+    bed.gateway.list(false, &[listed("a0", 0, State::Ready, None), listed("a1", 1, State::Ready, None)]);
+    assert!(before.iter().all(|server| server.starts_with('s')) && before.len() == 8);
+    assert_eq!(
+        used(&mut bed).iter().filter(|server| server.starts_with('s') && !before.contains(*server)).count(),
+        0
+    );
+}
