--- /dev/null
+++ b/gateway/src/program/mod.rs
@@ -0,0 +1,5 @@
+//! The program: its configuration, how it starts, how it ends, its log.
+
+pub mod config;
+pub mod log;
+pub mod run;
--- /dev/null
+++ b/gateway/src/protocol/call.rs
@@ -0,0 +1,207 @@
+//! The commands: what clients ask for, what is passed on to servers, and the answers of both.
+
+use fernscale::interface::{Id, Load, Micros, Transaction};
+use fernscale::settings::{self, Outside};
+
+use super::resp::{write_bulk, write_command, Reply};
+
+/// What a client asks of a gateway.
+#[derive(Debug)]
+pub enum Request {
+    Ping,
+    /// Something about the connection that needs no more than a yes.
+    Courtesy,
+    Call(Call),
+}
+
+/// A transaction as it came in, kept in the form in which it is passed on.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub transaction: Transaction,
+    verb: Box<[u8]>,
+    /// The names and values, in two halves: between them stands how long the answer is waited for.
+    before: Box<str>,
+    after: Box<str>,
+    body: Option<Box<[u8]>>,
+}
+
+/// The final answer to a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Settled(Box<[u8]>),
+    Nacked(Micros),
+    Abandoned,
+    /// It could not be taken as it was asked.
+    Misasked(&'static str),
+}
+
+/// What a server said to a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    Settled { value: Box<[u8]>, units: Option<f64> },
+    Failed,
+    Full,
+}
+
+const GET: &[u8] = b"CALL.GET";
+const POST: &[u8] = b"CALL.POST";
+
+/// Reads a command; else what is wrong with it, for the client to read.
+pub fn request(words: &[&[u8]], outside: &Outside) -> Result<Request, String> {
+    let is = |name: &[u8]| words[0].eq_ignore_ascii_case(name);
+    if is(GET) || is(POST) {
+        return call(words, outside).map(Request::Call);
+    }
+    if is(b"PING") {
+        return Ok(Request::Ping);
+    }
+    if is(b"CLIENT") || is(b"SELECT") {
+        return Ok(Request::Courtesy);
+    }
+    Err(format!("unknown command '{}'", shown(words[0])))
+}
+
+fn call(words: &[&[u8]], outside: &Outside) -> Result<Call, String> {
+    let (verb, customer, id, list, body) = match *words {
+        [verb, customer, id, list] => (verb, customer, id, list, None),
+        [verb, customer, id, list, body] => (verb, customer, id, list, Some(body)),
+        _ => return Err("a call takes a customer, an id, a list and perhaps a body".into()),
+    };
+    let customer = text(customer, "the customer")?;
+    let number = u64::from_str_radix(customer, 16).ok().filter(|number| *number < 1 << 33);
+    if customer.len() != 16 || number.is_none() || customer.starts_with('+') {
+        return Err("the customer is no number of 16 hex digits below 2^33".into());
+    }
+    let (id, list) = (text(id, "the id")?, text(list, "the list")?);
+    if id.is_empty() {
+        return Err("the id is empty".into());
+    }
+    let (mut lane, mut plan, mut left, mut place) = (None, None, None, 0..0);
+    let (mut units, mut spread, mut first) = (1.0, 1, 0);
+    let mut at = 0;
+    for part in list.split(',') {
+        let (name, value) = part.split_once('=').ok_or_else(|| format!("no '=' in '{part}'"))?;
+        let value_at = at + name.len() + 1;
+        at += part.len() + 1;
+        let wrong = || format!("'{part}' can't be understood");
+        match name {
+            "c" => lane = Some(outside.lanes.iter().position(|name| name == value).ok_or_else(wrong)?),
+            "t" => plan = Some(outside.plans.iter().position(|name| name == value).ok_or_else(wrong)?),
+            "d" => {
+                let time = value.parse::<f64>().ok().filter(|time| time.is_finite() && *time >= 0.0);
+                left = Some((time.ok_or_else(wrong)? * 1000.0) as Micros);
+                place = value_at..value_at + value.len();
+            }
+            "units" => {
+                let number = value.parse::<f64>().ok().filter(|units| units.is_finite() && *units >= 0.0);
+                units = number.ok_or_else(wrong)?;
+            }
+            "spread" => spread = value.parse().map_err(|_| wrong())?,
+            "first" => first = value.parse().map_err(|_| wrong())?,
+            _ => {}
+        }
+    }
+    Ok(Call {
+        transaction: Transaction {
+            id: Id::from(id),
+            lane: lane.ok_or("the list has no 'c'")?,
+            plan: plan.ok_or("the list has no 't'")?,
+            customer: Id::from(customer),
+            units,
+            first,
+            spread,
+            left: left.ok_or("the list has no 'd'")?,
+        },
+        verb: verb.into(),
+        before: list[..place.start].into(),
+        after: list[place.end..].into(),
+        body: body.map(Into::into),
+    })
+}
+
+fn text<'a>(word: &'a [u8], what: &str) -> Result<&'a str, String> {
+    let text = std::str::from_utf8(word).map_err(|_| format!("{what} is no text"))?;
+    if text.chars().any(char::is_control) {
+        return Err(format!("{what} has control characters"));
+    }
+    Ok(text)
+}
+
+/// What a client wrote, fit for an error line.
+fn shown(word: &[u8]) -> String {
+    let text = String::from_utf8_lossy(&word[..word.len().min(32)]);
+    text.chars().map(|letter| if letter.is_control() { '.' } else { letter }).collect()
+}
+
+impl Call {
+    /// The command for a server, with how long its answer is waited for.
+    pub fn command(&self, limit: Micros) -> Vec<u8> {
+        let list = format!("{}{}{}", self.before, limit.div_ceil(1000).max(1), self.after);
+        let asked = &self.transaction;
+        let mut words = vec![&*self.verb, asked.customer.as_bytes(), asked.id.as_bytes(), list.as_bytes()];
+        words.extend(self.body.as_deref());
+        write_command(&words)
+    }
+
+    /// Bytes that it holds.
+    pub fn weight(&self) -> usize {
+        self.body.as_ref().map_or(0, |body| body.len()) + self.before.len() + self.after.len()
+    }
+}
+
+impl Answer {
+    pub fn write(&self) -> Vec<u8> {
+        match self {
+            Answer::Settled(value) => {
+                let mut bytes = Vec::with_capacity(value.len() + 16);
+                write_bulk(&mut bytes, value);
+                bytes
+            }
+            Answer::Nacked(wait) if *wait >= 1000 => format!("-BUSY {}\r\n", wait / 1000).into_bytes(),
+            Answer::Nacked(_) => b"-BUSY\r\n".to_vec(),
+            Answer::Abandoned => error("abandoned"),
+            Answer::Misasked(why) => error(why),
+        }
+    }
+}
+
+/// An error for the client; the text is ours.
+pub fn error(text: &str) -> Vec<u8> {
+    format!("-ERR {text}\r\n").into_bytes()
+}
+
+/// What a server's reply says, and the load it reports.
+pub fn said(reply: &Reply, names: &[String]) -> Result<(Said, Load), &'static str> {
+    match reply {
+        Reply::Array(Some(items)) => {
+            let Some(Reply::Bulk(Some(value))) = items.first() else { return Err("no value in an answer") };
+            let text = |at: usize| match items.get(at) {
+                Some(Reply::Bulk(Some(text))) => std::str::from_utf8(text).unwrap_or_default(),
+                _ => "",
+            };
+            let cost = fields(text(1)).find(|(name, _)| *name == "cost");
+            let units = cost.and_then(|(_, value)| value.parse().ok()).filter(|units| *units > 0.0);
+            Ok((Said::Settled { value: (*value).into(), units }, load(text(2), names)))
+        }
+        Reply::Error(line) => {
+            let line = std::str::from_utf8(line).unwrap_or_default();
+            let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+            let report = load(rest.rsplit(' ').next().unwrap_or_default(), names);
+            Ok((if word == "BUSY" { Said::Full } else { Said::Failed }, report))
+        }
+        _ => Err("neither an answer nor an error"),
+    }
+}
+
+/// A load report in the fields that the settings name; what can't be read is left out.
+pub fn load(text: &str, names: &[String]) -> Load {
+    let mut load = Load::default();
+    for (name, value) in fields(text).filter(|(name, _)| names.iter().any(|known| known == name)) {
+        let _ = settings::load(&mut load, name, value);
+    }
+    load
+}
+
+fn fields(text: &str) -> impl Iterator<Item = (&str, &str)> {
+    text.split(',').filter_map(|part| part.split_once('='))
+}
--- /dev/null
+++ b/gateway/src/protocol/catalog.rs
@@ -0,0 +1,63 @@
+//! The list of servers, as discovery words it.
+
+use std::net::SocketAddr;
+
+use fernscale::interface::{Id, Listed, State};
+use fernscale::settings::Outside;
+use serde_json::Value;
+
+/// The whole list, or what changed in it.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub index: u64,
+    pub full: bool,
+    /// Each server, and where this gateway finds it.
+    pub servers: Vec<(Listed, SocketAddr)>,
+}
+
+/// The path of a call: for the whole list, or for what is newer than a version, with the time it may wait.
+pub fn path(newer: Option<(u64, u64)>) -> String {
+    match newer {
+        None => "/catalog/members".into(),
+        Some((since, wait_ms)) => format!("/catalog/members?since={since}&timeout_ms={wait_ms}"),
+    }
+}
+
+pub fn members(from: &Value, outside: &Outside) -> Result<Members, String> {
+    let entries = from.get("endpoints").and_then(Value::as_array).ok_or("a list without 'endpoints'")?;
+    Ok(Members {
+        index: from.get("index").and_then(Value::as_u64).ok_or("a list without 'index'")?,
+        full: from.get("snapshot").and_then(Value::as_bool).ok_or("a list without 'snapshot'")?,
+        servers: entries.iter().map(|entry| server(entry, outside)).collect::<Result<_, _>>()?,
+    })
+}
+
+fn server(entry: &Value, outside: &Outside) -> Result<(Listed, SocketAddr), String> {
+    let text = |name: &str| entry.get(name).and_then(Value::as_str);
+    let server = text("name").filter(|name| !name.is_empty()).ok_or("a server without 'name'")?;
+    let address = text("address").and_then(|address| address.parse().ok());
+    let address = address.ok_or_else(|| format!("server '{server}' has no 'address' of a socket"))?;
+    let place = |names: &[String], name: &str| {
+        let at = text(name).and_then(|name| names.iter().position(|known| known == name));
+        at.unwrap_or(names.len()) as u32
+    };
+    let listed = Listed {
+        server: Id::from(server),
+        zone: place(&outside.zones, "zone"),
+        kind: place(&outside.kinds, "type"),
+        cell: entry.get("group").and_then(Value::as_u64).unwrap_or(0) as u32,
+        state: match text("status") {
+            Some("in_service") => State::Ready,
+            Some("terminated") => State::Gone,
+            // What is not said to be in service takes nothing new.
+            _ => State::Draining,
+        },
+        rating: entry.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+        started: entry
+            .get("since_ms")
+            .and_then(Value::as_f64)
+            .filter(|at| *at > 0.0)
+            .map(|at| (at * 1e3) as u64),
+    };
+    Ok((listed, address))
+}
--- /dev/null
+++ b/gateway/src/protocol/resp.rs
@@ -0,0 +1,144 @@
+//! RESP2: commands as clients write them, replies as servers and the counter do.
+
+use super::Scanned;
+
+/// Longest bulk string: the largest value there is.
+pub const MOST_BULK: usize = 64 * 1024;
+/// Most items in an array, and arrays in arrays: no message has more than half as many.
+const MOST_ITEMS: usize = 16;
+const MOST_DEPTH: usize = 4;
+/// Longest line: an error with a load report takes some two hundred bytes.
+const MOST_LINE: usize = 1024;
+/// No message is longer: one value, and lines for the rest.
+pub const MOST_MESSAGE: usize = MOST_BULK + MOST_ITEMS * MOST_LINE;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply<'a> {
+    Simple(&'a [u8]),
+    Error(&'a [u8]),
+    Number(i64),
+    Bulk(Option<&'a [u8]>),
+    Array(Option<Vec<Reply<'a>>>),
+}
+
+/// The words of one command.
+pub fn command(bytes: &[u8]) -> Scanned<Vec<&[u8]>> {
+    let Some((&first, _)) = bytes.split_first() else { return Ok(None) };
+    if first != b'*' {
+        return Err("a command is an array of bulk strings");
+    }
+    let Some((count, mut at)) = length(bytes, 0)? else { return Ok(None) };
+    let count = match count {
+        Some(count) if (1..=MOST_ITEMS).contains(&count) => count,
+        _ => return Err("no command has so many words"),
+    };
+    let mut words = Vec::with_capacity(count);
+    for _ in 0..count {
+        match bytes.get(at) {
+            None => return Ok(None),
+            Some(b'$') => {}
+            Some(_) => return Err("a word of a command is a bulk string"),
+        }
+        let Some((word, end)) = bulk(bytes, at)? else { return Ok(None) };
+        words.push(word.ok_or("a word of a command is no null")?);
+        if end > MOST_MESSAGE {
+            return Err("the command is too long");
+        }
+        at = end;
+    }
+    Ok(Some((words, at)))
+}
+
+pub fn reply(bytes: &[u8]) -> Scanned<Reply<'_>> {
+    item(bytes, 0, 0)
+}
+
+fn item(bytes: &[u8], at: usize, depth: usize) -> Scanned<Reply<'_>> {
+    let Some(kind) = bytes.get(at) else { return Ok(None) };
+    Ok(match kind {
+        b'+' => line(bytes, at)?.map(|(text, end)| (Reply::Simple(text), end)),
+        b'-' => line(bytes, at)?.map(|(text, end)| (Reply::Error(text), end)),
+        b':' => match line(bytes, at)? {
+            Some((text, end)) => Some((Reply::Number(number(text)?), end)),
+            None => None,
+        },
+        b'$' => bulk(bytes, at)?.map(|(value, end)| (Reply::Bulk(value), end)),
+        b'*' => {
+            let Some((count, mut at)) = length(bytes, at)? else { return Ok(None) };
+            let Some(count) = count else { return Ok(Some((Reply::Array(None), at))) };
+            if count > MOST_ITEMS || depth == MOST_DEPTH {
+                return Err("an array is too large");
+            }
+            let mut items = Vec::with_capacity(count);
+            for _ in 0..count {
+                let Some((next, end)) = item(bytes, at, depth + 1)? else { return Ok(None) };
+                items.push(next);
+                at = end;
+            }
+            Some((Reply::Array(Some(items)), at))
+        }
+        _ => return Err("no reply begins like this"),
+    })
+}
+
+fn bulk(bytes: &[u8], at: usize) -> Scanned<Option<&[u8]>> {
+    let Some((length, start)) = length(bytes, at)? else { return Ok(None) };
+    let Some(length) = length else { return Ok(Some((None, start))) };
+    if length > MOST_BULK {
+        return Err("a bulk string is too long");
+    }
+    let end = start + length;
+    // What stands in the place of the end is looked at as soon as it is there.
+    match (bytes.get(end), bytes.get(end + 1)) {
+        (Some(b'\r'), Some(b'\n')) => Ok(Some((Some(&bytes[start..end]), end + 2))),
+        (None, _) | (Some(b'\r'), None) => Ok(None),
+        _ => Err("a bulk string does not end where it should"),
+    }
+}
+
+/// A length, `None` for the null, and where the line ends.
+fn length(bytes: &[u8], at: usize) -> Scanned<Option<usize>> {
+    let Some((text, end)) = line(bytes, at)? else { return Ok(None) };
+    match number(text)? {
+        -1 => Ok(Some((None, end))),
+        length => Ok(Some((Some(usize::try_from(length).map_err(|_| "a length is negative")?), end))),
+    }
+}
+
+/// The rest of a line after its first byte, and where the next begins.
+fn line(bytes: &[u8], at: usize) -> Scanned<&[u8]> {
+    let rest = &bytes[at + 1..];
+    match rest.iter().take(MOST_LINE).position(|byte| matches!(byte, b'\r' | b'\n')) {
+        Some(end) if rest[end] == b'\n' => Err("a line ends without a carriage return"),
+        Some(end) => match rest.get(end + 1) {
+            None => Ok(None),
+            Some(b'\n') => Ok(Some((&rest[..end], at + end + 3))),
+            Some(_) => Err("a carriage return stands within a line"),
+        },
+        None if rest.len() >= MOST_LINE => Err("a line is too long"),
+        None => Ok(None),
+    }
+}
+
+fn number(text: &[u8]) -> Result<i64, &'static str> {
+    let digits = text.strip_prefix(b"-").unwrap_or(text);
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err("a number has something else than digits");
+    }
+    let text = std::str::from_utf8(text).map_err(|_| "a number is no text")?;
+    text.parse().map_err(|_| "a number is too large")
+}
+
+/// A command, as a client writes it.
+pub fn write_command(words: &[&[u8]]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(words.iter().map(|word| word.len() + 16).sum::<usize>() + 8);
+    bytes.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    words.iter().for_each(|word| write_bulk(&mut bytes, word));
+    bytes
+}
+
+pub fn write_bulk(bytes: &mut Vec<u8>, value: &[u8]) {
+    bytes.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+    bytes.extend_from_slice(value);
+    bytes.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/gateway/src/routing/client.rs
@@ -0,0 +1,308 @@
+//! Clients: who is let in, and the task of each connection.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use fernscale::interface::Id;
+use futures_lite::{future, StreamExt};
+use slog::{debug, warn};
+
+use super::{Asked, Event, Places, Reply, Shared};
+use crate::protocol::call::{self, Answer, Request};
+use crate::protocol::resp;
+use crate::transport::connection::{within, Connection};
+use crate::transport::ending::Ending;
+use crate::transport::limits::Place;
+
+/// Commands of one connection that are under way at once; beyond it no more are read.
+const DEPTH: usize = 32;
+/// A client that takes no byte for so long is given up: its answers would be held for ever.
+const UNREAD: Duration = Duration::from_secs(10);
+/// How long a client may take to read the error that ends its connection.
+const LINGER: Duration = Duration::from_secs(1);
+/// Pause while there is no place for another connection.
+const FULL: Duration = Duration::from_millis(5);
+
+/// Connections between two transactions, the longest idle first.
+type Idle = Rc<RefCell<BTreeMap<(Instant, u64), Sender<()>>>>;
+
+pub struct Door {
+    shared: Rc<Shared>,
+    events: Sender<Event>,
+    idle: Idle,
+    /// Closed when this gateway ends.
+    leave: Receiver<()>,
+    let_in: u64,
+}
+
+impl Door {
+    pub fn new(shared: &Rc<Shared>, events: &Sender<Event>, leave: Receiver<()>) -> Self {
+        let idle = Idle::default();
+        Door { shared: shared.clone(), events: events.clone(), idle, leave, let_in: 0 }
+    }
+
+    pub async fn run(mut self, listener: Rc<Async<TcpListener>>) {
+        let mut incoming = std::pin::pin!(listener.incoming());
+        while let Some(stream) = incoming.next().await {
+            match stream {
+                Ok(stream) => self.let_in(stream).await,
+                Err(error) => {
+                    // Out of descriptors, or a client that left at once: others wait meanwhile.
+                    warn!(self.shared.log, "a client could not be accepted"; "why" => error.to_string());
+                    Timer::after(FULL).await;
+                }
+            }
+        }
+    }
+
+    async fn let_in(&mut self, stream: Async<std::net::TcpStream>) {
+        let (place, served) = loop {
+            if let Some(place) = self.shared.limits.clients.take(1) {
+                break (place, true);
+            }
+            let longest_idle = self.idle.borrow_mut().pop_first();
+            if let Some((_, leave)) = longest_idle {
+                // It ends at its next turn.
+                let _ = leave.try_send(());
+                future::yield_now().await;
+                continue;
+            }
+            if let Some(place) = self.shared.limits.turned_away.take(1) {
+                break (place, false);
+            }
+            Timer::after(FULL).await;
+        };
+        let (answered, answers) = async_channel::bounded(DEPTH);
+        let (evict, evicted) = async_channel::bounded(1);
+        self.let_in += 1;
+        let client = Client {
+            connection: Connection::new(stream, resp::MOST_MESSAGE, Some(place)),
+            shared: self.shared.clone(),
+            events: self.events.clone(),
+            idle: self.idle.clone(),
+            evict,
+            evicted,
+            leave: self.leave.clone(),
+            answered,
+            answers,
+            waiting: VecDeque::new(),
+            next: 0,
+            served,
+            last: false,
+            fresh: self.shared.stopping.get(),
+            key: (Instant::now(), self.let_in),
+        };
+        self.shared.executor.spawn(client.run()).detach();
+    }
+}
+
+/// A command that has come and is not answered yet; answers go out in the order of the commands.
+struct Waiting {
+    number: u64,
+    /// The transaction, as long as it has no answer.
+    open: Option<Id>,
+    answer: Option<(Vec<u8>, Option<Places>)>,
+}
+
+struct Client {
+    connection: Connection,
+    shared: Rc<Shared>,
+    events: Sender<Event>,
+    idle: Idle,
+    evict: Sender<()>,
+    evicted: Receiver<()>,
+    leave: Receiver<()>,
+    answered: Sender<(u64, Answer, Places)>,
+    answers: Receiver<(u64, Answer, Places)>,
+    waiting: VecDeque<Waiting>,
+    next: u64,
+    /// False where there is only room to turn it away.
+    served: bool,
+    /// No more commands are read: the connection ends when all are answered.
+    last: bool,
+    /// Came in while this gateway ends, and is still to be heard once.
+    fresh: bool,
+    key: (Instant, u64),
+}
+
+enum Step {
+    Answer(u64, Answer, Places),
+    Read(Result<(), Ending>),
+    Leave(Ending),
+}
+
+impl Client {
+    async fn run(mut self) {
+        let how = self.serve().await;
+        debug!(self.shared.log, "a client's connection ended"; "how" => ?how);
+        if how == Ending::Garbled {
+            self.linger().await;
+        }
+        // Whoever has gone is owed nothing.
+        for id in self.waiting.drain(..).filter_map(|waiting| waiting.open) {
+            drop(self.events.send(Event::Dropped(id)).await);
+        }
+    }
+
+    async fn serve(&mut self) -> Ending {
+        loop {
+            if let Err(how) = self.commands().await {
+                return how;
+            }
+            if let Err(how) = self.write().await {
+                return how;
+            }
+            if self.waiting.is_empty() {
+                if self.last {
+                    return Ending::Garbled;
+                }
+                let leaves = self.shared.stopping.get() && !self.fresh || !self.served && self.next > 0;
+                // What has come meanwhile is answered first.
+                if leaves && self.connection.quiet() {
+                    return Ending::Stopping;
+                }
+            } else if self.waiting[0].answer.is_some() {
+                continue;
+            }
+            match self.step().await {
+                Step::Answer(number, answer, places) => {
+                    if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.number == number) {
+                        waiting.open = None;
+                        waiting.answer = Some((answer.write(), Some(places)));
+                    }
+                }
+                Step::Read(Ok(())) => {}
+                Step::Read(Err(Ending::Garbled)) => self.misread("the command is too long"),
+                Step::Read(Err(how)) => return how,
+                Step::Leave(how) if self.connection.quiet() => return how,
+                Step::Leave(_) => {}
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let (idle, reads) = (self.waiting.is_empty(), self.waiting.len() < DEPTH && !self.last);
+        let answer = async {
+            match self.answers.recv().await {
+                Ok((number, answer, places)) => Step::Answer(number, answer, places),
+                Err(_) => Step::Leave(Ending::Stopping),
+            }
+        };
+        let connection = &mut self.connection;
+        let read = async {
+            match reads {
+                true => Step::Read(connection.read().await),
+                false => future::pending().await,
+            }
+        };
+        if !idle {
+            return future::or(answer, read).await;
+        }
+        let fresh = self.fresh;
+        let leave = async {
+            if fresh || self.leave.recv().await.is_ok() {
+                future::pending::<()>().await;
+            }
+            Step::Leave(Ending::Stopping)
+        };
+        let evicted = async {
+            let _ = self.evicted.recv().await;
+            Step::Leave(Ending::Idle)
+        };
+        self.key.0 = Instant::now();
+        self.idle.borrow_mut().insert(self.key, self.evict.clone());
+        let step = future::or(read, future::or(evicted, leave)).await;
+        self.idle.borrow_mut().remove(&self.key);
+        step
+    }
+
+    /// Takes the commands that have come whole, as many as may be under way.
+    async fn commands(&mut self) -> Result<(), Ending> {
+        while self.waiting.len() < DEPTH && !self.last {
+            let command = match resp::command(self.connection.buffer.filled()) {
+                Ok(None) => return Ok(()),
+                Ok(Some((words, length))) => Ok((call::request(&words, &self.shared.outside), length)),
+                Err(why) => Err(why),
+            };
+            match command {
+                Ok((request, length)) => {
+                    self.connection.buffer.consume(length);
+                    self.fresh = false;
+                    self.request(request).await;
+                }
+                Err(why) => self.misread(why),
+            }
+        }
+        Ok(())
+    }
+
+    async fn request(&mut self, request: Result<Request, String>) {
+        let answer = match request {
+            Ok(Request::Call(call)) => {
+                let limits = &self.shared.limits;
+                let places = limits.open.take(1).zip(limits.bytes.take(call.weight()));
+                let Some((open, bytes)) = places.filter(|_| self.served) else {
+                    // No room to take it: nothing has been done, and it may well come again.
+                    return self.say(Answer::Nacked(0).write());
+                };
+                let number = self.next;
+                self.next += 1;
+                self.waiting.push_back(Waiting {
+                    number,
+                    open: Some(call.transaction.id.clone()),
+                    answer: None,
+                });
+                let reply = Reply { number, to: self.answered.clone(), places: [open, bytes] };
+                let asked = Asked { call, reply, came: Instant::now() };
+                drop(self.events.send(Event::Asked(asked)).await);
+                return;
+            }
+            Ok(Request::Ping) if self.shared.ready.get() && !self.shared.stopping.get() => {
+                b"+PONG\r\n".to_vec()
+            }
+            Ok(Request::Ping) => call::error("not able to serve"),
+            Ok(Request::Courtesy) => b"+OK\r\n".to_vec(),
+            Err(why) => call::error(&why),
+        };
+        self.say(answer);
+    }
+
+    /// An answer that needs nobody else.
+    fn say(&mut self, answer: Vec<u8>) {
+        let number = self.next;
+        self.next += 1;
+        self.waiting.push_back(Waiting { number, open: None, answer: Some((answer, None)) });
+    }
+
+    /// What follows can't be told apart any more: one error, and the end.
+    fn misread(&mut self, why: &str) {
+        self.say(call::error(&format!("bad syntax: {why}")));
+        self.last = true;
+    }
+
+    /// Writes the answers that are next in order.
+    async fn write(&mut self) -> Result<(), Ending> {
+        while self.waiting.front().is_some_and(|waiting| waiting.answer.is_some()) {
+            let Some(Waiting { answer: Some((bytes, places)), .. }) = self.waiting.pop_front() else { break };
+            let until = Instant::now() + UNREAD;
+            within(until, Ending::Silent, self.connection.write(&bytes)).await?;
+            drop::<Option<[Place; 2]>>(places);
+        }
+        Ok(())
+    }
+
+    /// Bytes that are never read would take the error from the client, as the connection is then reset.
+    async fn linger(&mut self) {
+        let until = Instant::now() + LINGER;
+        self.connection.finish();
+        while within(until, Ending::Silent, self.connection.read()).await.is_ok() {
+            let count = self.connection.buffer.filled().len();
+            self.connection.buffer.consume(count);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/routing/list.rs
@@ -0,0 +1,136 @@
+//! The actor of the list: one call to discovery after another, each for what is newer than the last.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{future, StreamExt};
+use serde_json::Value;
+use slog::{info, warn};
+
+use super::{Event, Shared};
+use crate::protocol::catalog::{self, Members};
+use crate::protocol::http;
+use crate::transport::connection::{within, Connection};
+use crate::transport::ending::Ending;
+
+/// How long a call may wait for something new, and how much later its answer is given up: the agent answers at
+/// once, so that one which takes a second has nothing to say, and is asked anew on another connection.
+const WAIT: Duration = Duration::from_secs(20);
+const GRACE: Duration = Duration::from_secs(1);
+
+pub enum Order {
+    Follow(bool),
+    Fetch,
+}
+
+pub struct List {
+    pub shared: Rc<Shared>,
+    pub events: Sender<Event>,
+    connection: Option<Connection>,
+    following: bool,
+    /// The version that the next call starts from.
+    index: Option<u64>,
+}
+
+impl List {
+    pub fn new(shared: &Rc<Shared>, events: &Sender<Event>) -> Self {
+        List {
+            shared: shared.clone(),
+            events: events.clone(),
+            connection: None,
+            following: false,
+            index: None,
+        }
+    }
+
+    pub async fn run(mut self, mailbox: Receiver<Order>) {
+        let mut mailbox = std::pin::pin!(mailbox);
+        loop {
+            let following = self.following;
+            let call = async {
+                if !following {
+                    future::pending::<()>().await;
+                }
+                Step::Told(self.call(self.index).await)
+            };
+            // An order that comes in while a call waits would end it, and with it the watch: orders go first
+            // only where nothing is under way.
+            let order = async { Step::Order(mailbox.next().await) };
+            match future::or(call, order).await {
+                Step::Order(Some(Order::Follow(on))) => self.following = on,
+                Step::Order(Some(Order::Fetch)) => {
+                    self.connection = None;
+                    let told = self.call(None).await;
+                    self.tell(told).await;
+                }
+                Step::Order(None) => return,
+                Step::Told(told) => {
+                    self.following &= told.is_ok();
+                    self.tell(told).await;
+                }
+            }
+        }
+    }
+
+    async fn tell(&mut self, told: Result<Members, String>) {
+        let event = match told {
+            Ok(members) => {
+                self.index = Some(members.index);
+                Event::List(members)
+            }
+            Err(why) => {
+                warn!(self.shared.log, "discovery failed"; "why" => why);
+                Event::ListFailed
+            }
+        };
+        drop(self.events.send(event).await);
+    }
+
+    async fn call(&mut self, since: Option<u64>) -> Result<Members, String> {
+        let wait = if since.is_some() { WAIT } else { Duration::ZERO };
+        let path = catalog::path(since.map(|since| (since, wait.as_millis() as u64)));
+        let request = http::get(&self.shared.discovery.to_string(), &path);
+        let until = Instant::now() + wait + GRACE;
+        let reused = self.connection.is_some();
+        let mut response = self.exchange(&request, until).await;
+        if reused && response.is_err() && Instant::now() < until {
+            // The idle connection had ended; to ask again does no harm.
+            response = self.exchange(&request, until).await;
+        }
+        let response = response.map_err(|how| format!("{how:?}"))?;
+        if response.status != 200 {
+            return Err(format!("status {}", response.status));
+        }
+        let body: Value = serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
+        let members = catalog::members(&body, &self.shared.outside)?;
+        if members.full || !members.servers.is_empty() {
+            let (index, full) = (members.index, members.full);
+            info!(self.shared.log, "list"; "index" => index, "full" => full, "servers" => members.servers.len());
+        }
+        Ok(members)
+    }
+
+    async fn exchange(&mut self, request: &[u8], until: Instant) -> Result<http::Response, Ending> {
+        let mut connection = match self.connection.take().filter(Connection::quiet) {
+            Some(connection) => connection,
+            None => Connection::dial(self.shared.discovery, GRACE, http::MOST_MESSAGE, None).await?,
+        };
+        within(until, Ending::Silent, connection.write(request)).await?;
+        let scan = |bytes: &[u8]| http::response(bytes, false);
+        let response = match within(until, Ending::Silent, connection.message(scan)).await {
+            Err(Ending::Closed) => match http::response(connection.buffer.filled(), true) {
+                Ok(Some((response, _))) => response,
+                _ => return Err(Ending::Closed),
+            },
+            other => other?,
+        };
+        self.connection = Some(connection).filter(|_| response.keep);
+        Ok(response)
+    }
+}
+
+enum Step {
+    Order(Option<Order>),
+    Told(Result<Members, String>),
+}
--- /dev/null
+++ b/gateway/src/routing/mod.rs
@@ -0,0 +1,89 @@
+//! Who does what: an actor with a mailbox for each server, for the list, for the counter and for the module, and
+//! a task for each client's connection.
+
+pub mod client;
+pub mod counter;
+pub mod list;
+pub mod module;
+pub mod outcome;
+pub mod peer;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use fernscale::interface::{Id, Load, Micros};
+use fernscale::settings::Outside;
+use slog::Logger;
+
+use crate::protocol::call::{Answer, Call, Said};
+use crate::protocol::catalog::Members;
+use crate::transport::clock::Clock;
+use crate::transport::limits::{Limits, Place};
+use outcome::Lost;
+
+/// Orders or events that wait in a mailbox at most; who sends more is held back until there is room. Events come
+/// from many, orders from one.
+pub const MOST_EVENTS: usize = 256;
+pub const MOST_ORDERS: usize = 64;
+
+/// What all parts of one gateway share.
+pub struct Shared {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub log: Logger,
+    pub clock: Clock,
+    pub limits: Limits,
+    pub outside: Outside,
+    pub discovery: SocketAddr,
+    /// Servers are known, so that transactions can be served.
+    pub ready: Cell<bool>,
+    /// This gateway ends: answers what has come and still comes, and takes leave of clients.
+    pub stopping: Cell<bool>,
+}
+
+/// What happens, for the module.
+pub enum Event {
+    Asked(Asked),
+    /// The client has gone.
+    Dropped(Id),
+    Returned(Return),
+    Probed {
+        server: Id,
+        end: Result<Load, Lost>,
+    },
+    Counted {
+        count: Box<str>,
+        end: Result<counter::Told, Lost>,
+        took: Micros,
+    },
+    List(Members),
+    ListFailed,
+}
+
+pub struct Asked {
+    pub call: Call,
+    pub reply: Reply,
+    pub came: Instant,
+}
+
+/// Where the final answer goes, and the places that the transaction takes until it is written.
+pub struct Reply {
+    pub number: u64,
+    pub to: Sender<(u64, Answer, Places)>,
+    pub places: Places,
+}
+
+/// A place among the transactions that are open, and one for the bytes of it.
+pub type Places = [Place; 2];
+
+/// The end of one trip.
+pub struct Return {
+    pub transaction: Id,
+    pub trip: usize,
+    pub server: Id,
+    pub end: Result<(Said, Load), Lost>,
+    pub took: Micros,
+}
--- /dev/null
+++ b/gateway/src/routing/module.rs
@@ -0,0 +1,394 @@
+//! The actor of the module: tells it what happened, one event after another, and does what it says.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender, TrySendError};
+use async_io::Timer;
+use fernscale::interface::{Host, Id, Load, Micros, Returned, Settings, State};
+use fernscale::policy::Gateway;
+use futures_lite::{future, StreamExt};
+use slog::{info, warn, Logger};
+
+use super::counter::{Add, Told};
+use super::outcome::{self, Lost};
+use super::{list, peer, Asked, Event, Reply, Return, Shared};
+use crate::protocol::call::{Answer, Call, Said};
+use crate::protocol::catalog::Members;
+use crate::transport::ending::Ending;
+
+/// What the module wants done, in its order.
+enum Action {
+    Send { transaction: Id, server: Id, limit: Micros },
+    Cancel { transaction: Id, trip: usize },
+    Answer(Id, Answer),
+    Alarm(Micros, Box<str>),
+    Server(Id, peer::Order),
+    Add(Add),
+    List(list::Order),
+}
+
+struct Desk {
+    now: Micros,
+    actions: VecDeque<Action>,
+    log: Logger,
+}
+
+/// The module's hands: they write down what is to be done.
+struct Hands(Rc<RefCell<Desk>>);
+
+impl Hands {
+    fn note(&self, action: Action) {
+        self.0.borrow_mut().actions.push_back(action);
+    }
+}
+
+impl Host for Hands {
+    fn now(&self) -> Micros {
+        self.0.borrow().now
+    }
+    fn send(&mut self, transaction: &Id, server: &Id, limit: Micros) {
+        self.note(Action::Send { transaction: transaction.clone(), server: server.clone(), limit });
+    }
+    fn cancel(&mut self, transaction: &Id, trip: usize) {
+        self.note(Action::Cancel { transaction: transaction.clone(), trip });
+    }
+    fn nack(&mut self, transaction: &Id, wait: Micros) {
+        self.note(Action::Answer(transaction.clone(), Answer::Nacked(wait)));
+    }
+    fn abandon(&mut self, transaction: &Id) {
+        self.note(Action::Answer(transaction.clone(), Answer::Abandoned));
+    }
+    fn set_alarm(&mut self, delay: Micros, token: &str) {
+        let at = self.now() + delay;
+        self.note(Action::Alarm(at, token.into()));
+    }
+    fn probe(&mut self, server: &Id) {
+        self.note(Action::Server(server.clone(), peer::Order::Probe));
+    }
+    fn close_idle(&mut self, server: &Id) {
+        self.note(Action::Server(server.clone(), peer::Order::CloseIdle));
+    }
+    fn add(&mut self, count: &str, amount: f64, life: Micros) {
+        self.note(Action::Add(Add { count: count.into(), amount, life, made: Instant::now() }));
+    }
+    fn follow_list(&mut self, on: bool) {
+        self.note(Action::List(list::Order::Follow(on)));
+    }
+    fn fetch_list(&mut self) {
+        self.note(Action::List(list::Order::Fetch));
+    }
+    fn tell(&mut self, _gateway: Option<u32>, _data: &[u8]) {
+        // Gateways have no way to each other here, as where a message is lost.
+    }
+    fn report(&mut self, text: &str) {
+        info!(self.0.borrow().log, "module"; "text" => text);
+    }
+}
+
+/// A transaction from its arrival until it is answered and no trip is out.
+struct Held {
+    call: Rc<Call>,
+    reply: Option<Reply>,
+    hard_stop: Micros,
+    /// The mailboxes of the servers that its trips went to, and how many trips are out.
+    trips: Vec<Option<Sender<peer::Order>>>,
+    out: usize,
+}
+
+struct Peer {
+    orders: Sender<peer::Order>,
+    address: SocketAddr,
+    ready: bool,
+}
+
+pub struct Module {
+    shared: Rc<Shared>,
+    gateway: Gateway<Hands>,
+    desk: Rc<RefCell<Desk>>,
+    events: Sender<Event>,
+    counter: Option<Sender<Add>>,
+    list: Sender<list::Order>,
+    held: HashMap<Id, Held>,
+    peers: BTreeMap<Id, Peer>,
+    alarms: BTreeMap<(Micros, u64), Box<str>>,
+    alarms_set: u64,
+    /// What is to be told to the module before anything else, as it follows from what it did.
+    follows: VecDeque<Event>,
+}
+
+impl Module {
+    pub fn new(
+        shared: &Rc<Shared>,
+        settings: Settings,
+        events: &Sender<Event>,
+        counter: Option<Sender<Add>>,
+        list: Sender<list::Order>,
+    ) -> Self {
+        let desk = Desk { now: shared.clock.now(), actions: VecDeque::new(), log: shared.log.clone() };
+        let desk = Rc::new(RefCell::new(desk));
+        Module {
+            gateway: Gateway::start(settings, Hands(desk.clone())),
+            shared: shared.clone(),
+            desk,
+            events: events.clone(),
+            counter,
+            list,
+            held: HashMap::new(),
+            peers: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            alarms_set: 0,
+            follows: VecDeque::new(),
+        }
+    }
+
+    pub async fn run(mut self, known: Option<Members>, mailbox: Receiver<Event>) {
+        let mut mailbox = std::pin::pin!(mailbox);
+        if let Some(known) = known {
+            self.learn(&known);
+        }
+        self.act().await;
+        loop {
+            let next = self.alarms.first_key_value().map(|((at, _), _)| self.shared.clock.instant(*at));
+            let alarm = async {
+                match next {
+                    Some(at) => drop(Timer::at(at).await),
+                    None => future::pending().await,
+                }
+                None
+            };
+            let event = match mailbox.try_recv() {
+                Ok(event) => Some(event),
+                Err(_) => future::or(async { mailbox.next().await }, alarm).await,
+            };
+            if let Some(event) = event {
+                self.tell(event);
+                self.act().await;
+            }
+            self.ring().await;
+        }
+    }
+
+    /// Tells the module of alarms that are due.
+    async fn ring(&mut self) {
+        let now = self.shared.clock.now();
+        while let Some(alarm) = self.alarms.first_entry().filter(|alarm| alarm.key().0 <= now) {
+            let token = alarm.remove();
+            self.look_at_clock();
+            self.gateway.alarm(&token);
+            self.act().await;
+        }
+    }
+
+    fn look_at_clock(&self) {
+        self.desk.borrow_mut().now = self.shared.clock.now();
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.look_at_clock();
+        match event {
+            Event::Asked(asked) => self.asked(asked),
+            Event::Dropped(id) => {
+                if self.held.get_mut(&id).is_some_and(|held| held.reply.take().is_some()) {
+                    self.gateway.dropped(&id);
+                    self.forget(&id);
+                }
+            }
+            Event::Returned(end) => self.returned(end),
+            Event::Probed { server, end } => {
+                let outcome = outcome::of_probe(&end);
+                self.gateway.probed(&server, outcome, end.unwrap_or_default());
+            }
+            Event::Counted { count, end, took } => {
+                let (outcome, total) = outcome::of_call(&end);
+                self.gateway.counted(&count, outcome, total, took);
+            }
+            Event::List(members) => {
+                self.learn(&members);
+                self.look_ready();
+            }
+            Event::ListFailed => {
+                self.look_ready();
+                self.gateway.list_failed();
+            }
+        }
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        let Asked { call, reply, came } = asked;
+        if self.held.contains_key(&call.transaction.id) {
+            return answer(reply, Answer::Misasked("this id is in use"));
+        }
+        let mut transaction = call.transaction.clone();
+        let waited = came.elapsed().as_micros() as Micros;
+        transaction.left = transaction.left.saturating_sub(waited);
+        let hard_stop = self.desk.borrow().now + transaction.left;
+        let (call, trips) = (Rc::new(call), Vec::new());
+        let held = Held { call, reply: Some(reply), hard_stop, trips, out: 0 };
+        self.held.insert(transaction.id.clone(), held);
+        self.gateway.transaction(transaction);
+    }
+
+    fn returned(&mut self, end: Return) {
+        let outcome = outcome::of_trip(&end.end);
+        let Some(held) = self.held.get_mut(&end.transaction) else { return };
+        held.out -= 1;
+        let (mut units, mut load) = (None, Load::default());
+        if let Ok((said, told)) = end.end {
+            load = told;
+            if let Said::Settled { value, units: settled } = said {
+                units = settled;
+                if let Some(reply) = held.reply.take() {
+                    answer(reply, Answer::Settled(value));
+                }
+            }
+        }
+        let finished = held.reply.is_none();
+        self.gateway.returned(Returned {
+            transaction: end.transaction.clone(),
+            trip: end.trip,
+            server: end.server,
+            outcome,
+            took: end.took,
+            finished,
+            units,
+            load,
+        });
+        self.forget(&end.transaction);
+    }
+
+    /// Forgets a transaction that is over.
+    fn forget(&mut self, id: &Id) {
+        if self.held.get(id).is_some_and(|held| held.reply.is_none() && held.out == 0) {
+            self.held.remove(id);
+        }
+    }
+
+    fn learn(&mut self, members: &Members) {
+        if members.full {
+            let listed = |id: &Id| members.servers.iter().any(|(server, _)| server.server == *id);
+            // Trips that are out know their server's mailbox, and are ended as any other.
+            self.peers.retain(|id, _| listed(id));
+        }
+        for (server, address) in &members.servers {
+            if server.state == State::Gone {
+                self.peers.remove(&server.server);
+                continue;
+            }
+            let ready = server.state == State::Ready;
+            match self.peers.get_mut(&server.server) {
+                Some(peer) => {
+                    peer.ready = ready;
+                    if peer.address != *address {
+                        peer.address = *address;
+                        let order = peer::Order::Move(*address);
+                        self.desk
+                            .borrow_mut()
+                            .actions
+                            .push_back(Action::Server(server.server.clone(), order));
+                    }
+                }
+                None => {
+                    let orders = peer::start(&self.shared, &self.events, &server.server, *address);
+                    let peer = Peer { orders, address: *address, ready };
+                    self.peers.insert(server.server.clone(), peer);
+                }
+            }
+        }
+        let servers: Vec<_> = members.servers.iter().map(|(server, _)| server.clone()).collect();
+        self.gateway.list(members.full, &servers);
+    }
+
+    /// Able to serve once discovery has been asked and a server is known, be it from before the start.
+    fn look_ready(&self) {
+        self.shared.ready.set(self.peers.values().any(|peer| peer.ready));
+    }
+
+    /// Does what the module has said, and tells it what follows at once.
+    async fn act(&mut self) {
+        loop {
+            let action = self.desk.borrow_mut().actions.pop_front();
+            match (action, self.follows.is_empty()) {
+                (Some(action), _) => self.perform(action).await,
+                (None, false) => {
+                    if let Some(event) = self.follows.pop_front() {
+                        self.tell(event);
+                    }
+                }
+                (None, true) => return,
+            }
+        }
+    }
+
+    async fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { transaction, server, limit } => self.send(transaction, server, limit).await,
+            Action::Cancel { transaction, trip } => {
+                let trips = self.held.get(&transaction).map(|held| &held.trips);
+                if let Some(Some(orders)) = trips.and_then(|trips| trips.get(trip)) {
+                    drop(orders.clone().send(peer::Order::Cancel { transaction, trip }).await);
+                }
+            }
+            Action::Answer(id, said) => {
+                if let Some(reply) = self.held.get_mut(&id).and_then(|held| held.reply.take()) {
+                    answer(reply, said);
+                }
+                self.forget(&id);
+            }
+            Action::Alarm(at, token) => {
+                self.alarms_set += 1;
+                self.alarms.insert((at, self.alarms_set), token);
+            }
+            Action::Server(server, order) => {
+                if let Some(peer) = self.peers.get(&server) {
+                    drop(peer.orders.send(order).await);
+                }
+            }
+            Action::Add(add) => self.add(add),
+            Action::List(order) => {
+                if self.list.try_send(order).is_err() {
+                    self.follows.push_back(Event::ListFailed);
+                }
+            }
+        }
+    }
+
+    async fn send(&mut self, transaction: Id, server: Id, limit: Micros) {
+        let now = self.shared.clock.now();
+        let Some(held) = self.held.get_mut(&transaction) else {
+            return warn!(self.shared.log, "a trip of what is not open"; "id" => &*transaction);
+        };
+        let trip = held.trips.len();
+        let orders = self.peers.get(&server).map(|peer| peer.orders.clone());
+        held.trips.push(orders.clone());
+        held.out += 1;
+        let left = held.hard_stop.saturating_sub(now);
+        let limit = if limit == 0 { left } else { limit.min(left) };
+        if let (Some(orders), true) = (orders, left > 0) {
+            let order = peer::Order::Trip { call: held.call.clone(), trip, limit, made: Instant::now() };
+            if orders.send(order).await.is_ok() {
+                return;
+            }
+        }
+        let end = Err(Lost::unsent(Ending::NoSocket));
+        self.follows.push_back(Event::Returned(Return { transaction, trip, server, end, took: 0 }));
+    }
+
+    /// The counter's actor waits for this one at times, so this one must not wait for it.
+    fn add(&mut self, add: Add) {
+        let sent = self.counter.as_ref().map(|counter| counter.try_send(add));
+        if let Some(Err(TrySendError::Full(add) | TrySendError::Closed(add))) = sent {
+            let counted = Event::Counted { count: add.count, end: Ok(Told::Full), took: 0 };
+            self.follows.push_back(counted);
+        }
+    }
+}
+
+/// A client that has gone by now hears nothing.
+fn answer(reply: Reply, answer: Answer) {
+    let Reply { number, to, places } = reply;
+    let _ = to.try_send((number, answer, places));
+}
--- /dev/null
+++ b/gateway/src/routing/outcome.rs
@@ -0,0 +1,61 @@
+//! What the end of a connection means for what was asked on it. Nowhere else is this decided.
+
+use fernscale::interface::Outcome;
+
+use super::counter::Told;
+use crate::protocol::call::Said;
+use crate::transport::ending::Ending;
+
+/// The connection ended before the answer had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    pub how: Ending,
+    /// The last byte had been written: what was asked may have run.
+    pub written: bool,
+}
+
+impl Lost {
+    pub fn unsent(how: Ending) -> Self {
+        Lost { how, written: false }
+    }
+
+    pub fn unanswered(how: Ending) -> Self {
+        Lost { how, written: true }
+    }
+
+    fn outcome(self) -> Outcome {
+        match (self.how, self.written) {
+            (Ending::NoSocket, _) => Outcome::NeverSent,
+            (Ending::GivenUp, _) => Outcome::Cancelled,
+            (_, false) => Outcome::NotConnected,
+            (Ending::Silent, true) => Outcome::TimedOut,
+            (Ending::Garbled, true) => Outcome::Error,
+            (Ending::Closed | Ending::Broken | Ending::Idle | Ending::Stopping, true) => Outcome::Reset,
+            // A connection that was never there has nothing written to it.
+            (Ending::Refused | Ending::NeverUp, true) => Outcome::NotConnected,
+        }
+    }
+}
+
+pub fn of_trip<T>(end: &Result<(Said, T), Lost>) -> Outcome {
+    match end {
+        Ok((Said::Settled { .. }, _)) => Outcome::Ok,
+        Ok((Said::Failed, _)) => Outcome::Error,
+        Ok((Said::Full, _)) => Outcome::Full,
+        Err(lost) => lost.outcome(),
+    }
+}
+
+pub fn of_probe<T>(end: &Result<T, Lost>) -> Outcome {
+    end.as_ref().map_or_else(|lost| lost.outcome(), |_| Outcome::Ok)
+}
+
+/// Of a call to the counter only three things matter: its total, that nothing was added, or that some may be.
+pub fn of_call(end: &Result<Told, Lost>) -> (Outcome, f64) {
+    match end {
+        Ok(Told::Total(total)) => (Outcome::Ok, *total),
+        Ok(Told::Full | Told::Error) => (Outcome::Full, 0.0),
+        Err(lost) if lost.written => (Outcome::TimedOut, 0.0),
+        Err(lost) => (lost.outcome(), 0.0),
+    }
+}
--- /dev/null
+++ b/gateway/src/routing/peer.rs
@@ -0,0 +1,193 @@
+//! The actor of one server: its connections, and the trips and probes on them.
+//!
+//! Each trip has a connection to itself. To give a trip up is to close its connection, and no other may suffer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use async_io::Timer;
+use fernscale::interface::{Id, Load, Micros};
+use futures_lite::{future, StreamExt};
+
+use super::outcome::Lost;
+use super::{Event, Return, Shared, MOST_ORDERS};
+use crate::protocol::call::{self, Call, Said};
+use crate::protocol::resp::{self, Reply};
+use crate::transport::clock::micros;
+use crate::transport::connection::{within, Connection};
+use crate::transport::ending::Ending;
+
+/// How often idle connections are looked at: those that have ended or stood too long give their sockets back.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Part of the site's idle time after which a connection is closed from here: later the server may do so while a
+/// trip is on its way.
+const KEPT: f64 = 0.75;
+
+pub enum Order {
+    Trip { call: Rc<Call>, trip: usize, limit: Micros, made: Instant },
+    Cancel { transaction: Id, trip: usize },
+    Probe,
+    CloseIdle,
+    Move(SocketAddr),
+}
+
+struct Peer {
+    server: Id,
+    address: Cell<SocketAddr>,
+    idle: RefCell<Vec<Connection>>,
+    trips: RefCell<HashMap<(Id, usize), Task<()>>>,
+    shared: Rc<Shared>,
+    events: Sender<Event>,
+}
+
+/// Starts the actor; it ends, and its trips with their answers, once nobody can order anything any more.
+pub fn start(shared: &Rc<Shared>, events: &Sender<Event>, server: &Id, address: SocketAddr) -> Sender<Order> {
+    let (orders, mailbox) = async_channel::bounded(MOST_ORDERS);
+    let peer = Rc::new(Peer {
+        server: server.clone(),
+        address: Cell::new(address),
+        idle: RefCell::default(),
+        trips: RefCell::default(),
+        shared: shared.clone(),
+        events: events.clone(),
+    });
+    shared.executor.spawn(peer.run(mailbox)).detach();
+    orders
+}
+
+impl Peer {
+    async fn run(self: Rc<Self>, mailbox: Receiver<Order>) {
+        let mut mailbox = std::pin::pin!(mailbox);
+        loop {
+            let idle = !self.idle.borrow().is_empty();
+            let sweep = async {
+                if idle {
+                    Timer::after(SWEEP).await;
+                } else {
+                    future::pending::<()>().await;
+                }
+                Some(None)
+            };
+            match future::or(async { mailbox.next().await.map(Some) }, sweep).await {
+                Some(Some(order)) => self.obey(order).await,
+                Some(None) => self.sweep(),
+                None => break,
+            }
+        }
+        for (_, task) in self.trips.take() {
+            task.detach();
+        }
+    }
+
+    async fn obey(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Trip { call, trip, limit, made } => {
+                let key = (call.transaction.id.clone(), trip);
+                let peer = self.clone();
+                let task = self.shared.executor.spawn(peer.trip(call, trip, limit, made));
+                self.trips.borrow_mut().insert(key, task);
+            }
+            Order::Cancel { transaction, trip } => {
+                let task = self.trips.borrow_mut().remove(&(transaction.clone(), trip));
+                if let Some(task) = task {
+                    // Its connection is closed before its end is told.
+                    task.cancel().await;
+                    let end = Err(Lost::unsent(Ending::GivenUp));
+                    let server = self.server.clone();
+                    let returned = Event::Returned(Return { transaction, trip, server, end, took: 0 });
+                    // The module waits for this mailbox at times, so this actor never waits for the module's.
+                    let events = self.events.clone();
+                    let tell = async move { drop(events.send(returned).await) };
+                    self.shared.executor.spawn(tell).detach();
+                }
+            }
+            Order::Probe => {
+                let peer = self.clone();
+                let probe = async move {
+                    let end = peer.probe().await;
+                    let probed = Event::Probed { server: peer.server.clone(), end };
+                    drop(peer.events.send(probed).await);
+                };
+                self.shared.executor.spawn(probe).detach();
+            }
+            Order::CloseIdle => self.idle.borrow_mut().clear(),
+            Order::Move(address) => {
+                self.address.set(address);
+                self.idle.borrow_mut().clear();
+            }
+        }
+    }
+
+    fn sweep(&self) {
+        let most = Duration::from_micros((KEPT * self.shared.outside.idle as f64) as Micros);
+        self.idle.borrow_mut().retain(|connection| connection.used.elapsed() < most && connection.quiet());
+    }
+
+    async fn trip(self: Rc<Self>, call: Rc<Call>, trip: usize, limit: Micros, made: Instant) {
+        let until = made + Duration::from_micros(limit);
+        let end = self.exchange(&call.command(limit), until, |reply| call::said(reply, self.load())).await;
+        let transaction = call.transaction.id.clone();
+        if let Some(task) = self.trips.borrow_mut().remove(&(transaction.clone(), trip)) {
+            task.detach();
+        }
+        let (server, took) = (self.server.clone(), micros(made.elapsed()));
+        let returned = Return { transaction, trip, server, end, took };
+        drop(self.events.send(Event::Returned(returned)).await);
+    }
+
+    async fn probe(&self) -> Result<Load, Lost> {
+        let until = Instant::now() + Duration::from_micros(self.shared.outside.dial);
+        let command = resp::write_command(&[b"PING"]);
+        let said = |reply: &Reply| match reply {
+            Reply::Simple(_) => Ok((Said::Settled { value: Box::default(), units: None }, Load::default())),
+            _ => Err("no good word"),
+        };
+        self.exchange(&command, until, said).await.map(|(_, load)| load)
+    }
+
+    fn load(&self) -> &[String] {
+        &self.shared.outside.load
+    }
+
+    /// Writes a command on a connection of its own and reads the reply.
+    async fn exchange<T>(
+        &self,
+        command: &[u8],
+        until: Instant,
+        meaning: impl Fn(&Reply) -> Result<T, &'static str>,
+    ) -> Result<T, Lost> {
+        let mut connection = match self.quiet_one() {
+            Some(connection) => connection,
+            None => within(until, Ending::NeverUp, self.dial()).await.map_err(Lost::unsent)?,
+        };
+        within(until, Ending::Silent, connection.write(command)).await.map_err(Lost::unsent)?;
+        let scan = |bytes: &[u8]| match resp::reply(bytes)? {
+            Some((reply, length)) => Ok(Some((meaning(&reply)?, length))),
+            None => Ok(None),
+        };
+        let said = within(until, Ending::Silent, connection.message(scan)).await.map_err(Lost::unanswered)?;
+        // Idle connections must leave sockets for those to other servers.
+        if self.shared.limits.servers.roomy() && connection.buffer.is_empty() {
+            connection.used = Instant::now();
+            self.idle.borrow_mut().push(connection);
+        }
+        Ok(said)
+    }
+
+    /// The idle connection used last, so that those not needed any more grow old.
+    fn quiet_one(&self) -> Option<Connection> {
+        self.sweep();
+        self.idle.borrow_mut().pop()
+    }
+
+    async fn dial(&self) -> Result<Connection, Ending> {
+        let place = self.shared.limits.servers.take(1).ok_or(Ending::NoSocket)?;
+        let limit = Duration::from_micros(self.shared.outside.dial);
+        Connection::dial(self.address.get(), limit, resp::MOST_MESSAGE, Some(place)).await
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/connection.rs
@@ -0,0 +1,100 @@
+//! One connection: dialled or accepted, read into its buffer, written to.
+
+use std::future::Future;
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+
+use super::buffer::Buffer;
+use super::ending::Ending;
+use super::limits::Place;
+use crate::protocol::Scanned;
+
+pub struct Connection {
+    stream: Async<TcpStream>,
+    pub buffer: Buffer,
+    /// When it was last used.
+    pub used: Instant,
+    _place: Option<Place>,
+}
+
+impl Connection {
+    pub fn new(stream: Async<TcpStream>, most: usize, place: Option<Place>) -> Self {
+        // Messages are small and each is waited for.
+        let _ = stream.get_ref().set_nodelay(true);
+        Connection { stream, buffer: Buffer::new(most), used: Instant::now(), _place: place }
+    }
+
+    pub async fn dial(
+        to: SocketAddr,
+        limit: Duration,
+        most: usize,
+        place: Option<Place>,
+    ) -> Result<Self, Ending> {
+        let dial = async { Async::<TcpStream>::connect(to).await.map_err(|error| Ending::of_dial(&error)) };
+        let stream = within(Instant::now() + limit, Ending::NeverUp, dial).await?;
+        Ok(Connection::new(stream, most, place))
+    }
+
+    /// Waits for more bytes. May be dropped at any time without losing any.
+    pub async fn read(&mut self) -> Result<(), Ending> {
+        let room = self.buffer.room();
+        if room.is_empty() {
+            return Err(Ending::Garbled);
+        }
+        match self.stream.read(room).await {
+            Ok(0) => Err(Ending::Closed),
+            Ok(count) => {
+                self.buffer.filled_up(count);
+                Ok(())
+            }
+            Err(_) => Err(Ending::Broken),
+        }
+    }
+
+    /// Writes all; the last byte is written only if this succeeds.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), Ending> {
+        self.used = Instant::now();
+        self.stream.write_all(bytes).await.map_err(|_| Ending::Broken)
+    }
+
+    /// Says that nothing more will be written.
+    pub fn finish(&self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+    }
+
+    /// Reads until a whole message has come, and hands it on.
+    pub async fn message<T>(&mut self, scan: impl Fn(&[u8]) -> Scanned<T>) -> Result<T, Ending> {
+        loop {
+            if let Some((message, length)) = scan(self.buffer.filled()).map_err(|_| Ending::Garbled)? {
+                self.buffer.consume(length);
+                return Ok(message);
+            }
+            self.read().await?;
+        }
+    }
+
+    /// Whether it is quiet and open: an idle connection may have ended, and a write to it would be lost.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [0];
+        let mut stream = self.stream.get_ref();
+        let look = stream.read(&mut byte);
+        self.buffer.is_empty() && matches!(look, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// The outcome of some work, or an ending once the time has come.
+pub async fn within<T>(
+    until: Instant,
+    ending: Ending,
+    work: impl Future<Output = Result<T, Ending>>,
+) -> Result<T, Ending> {
+    let late = async {
+        Timer::at(until).await;
+        Err(ending)
+    };
+    future::or(work, late).await
+}
--- /dev/null
+++ b/gateway/src/transport/ending.rs
@@ -0,0 +1,38 @@
+//! Every way in which a connection can end, or fail to begin.
+
+use std::io;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// No descriptor was left for it.
+    NoSocket,
+    /// Nobody listens there, or the dial failed in another way.
+    Refused,
+    /// It was not up in time.
+    NeverUp,
+    /// The other side closed it.
+    Closed,
+    /// It broke.
+    Broken,
+    /// The other side wrote what can't be understood.
+    Garbled,
+    /// The other side said nothing, or read nothing, for as long as was waited for it.
+    Silent,
+    /// What was asked on it is not wanted any more.
+    GivenUp,
+    /// It was not used for long, or its place is needed.
+    Idle,
+    /// This gateway ends.
+    Stopping,
+}
+
+impl Ending {
+    /// How a dial that failed ends.
+    pub fn of_dial(error: &io::Error) -> Self {
+        // EMFILE and ENFILE: this machine has no descriptor left, which says nothing of the other side.
+        match error.raw_os_error() {
+            Some(23 | 24) => Ending::NoSocket,
+            _ => Ending::Refused,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod interface;
 pub mod policy;
+pub mod settings;
 mod state;
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -4,9 +4,9 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
-use fernscale::interface::{Ceiling, Group, Host, Id, Kind, Lane, Micros, Plan, Settings};
+use fernscale::interface::{Host, Id, Micros};
 
-use crate::wire::{base64, millis, Line, Parsed};
+use crate::wire::{base64, millis};
 
 /// What one instance and its host share: the time of the batch and the actions written so far.
 #[derive(Default)]
@@ -81,65 +81,3 @@
         self.write("emit", format_args!(" message={}", text.replace('\n', " ")));
     }
 }
-
-pub fn settings(line: &Line) -> Parsed<Settings> {
-    let on = |key: &str| line.flag(key);
-    Ok(Settings {
-        seed: line.whole("prng")?,
-        me: line.whole_or("me", 0)? as u32,
-        gateways: line.whole_or("balancers", 1)? as u32,
-        lanes: (0..line.whole_or("lanes.count", 0)?).map(|at| lane(line, at)).collect::<Parsed<_>>()?,
-        plans: (0..line.whole_or("tiersOfService.count", 0)?)
-            .map(|at| plan(line, at))
-            .collect::<Parsed<_>>()?,
-        most_trips: line.whole_or("ceilings.sendCap", 1)? as u32,
-        may_cancel: on("ceilings.cancel")?,
-        longest_wait: if on("ceilings.retryAfter")? {
-            line.time_or("ceilings.maxRetryAfterMs", 0)?
-        } else {
-            0
-        },
-        counter: on("specifics.sharedCounter")?,
-        list_on_request: match line.fields.get("discovery") {
-            Some(&"on_request") => Some(line.time_or("rules.askWithinMs", 0)?),
-            _ => None,
-        },
-        cold_share: line.number_or("rules.coldFrom", 1.0)?,
-        warm_up: line.time_or("rules.warmUpMs", 0)?,
-        fall_multiple: line.number_or("rules.fallMultiple", 1.0)?,
-        fall_window: line.time_or("rules.fallMs", 0)?,
-    })
-}
-
-fn lane(line: &Line, at: u64) -> Parsed<Lane> {
-    let key = |name: &str| format!("lanes.{at}.{name}");
-    let kind = match line.text(&key("effect"))? {
-        "read_like" => Kind::Redoable,
-        "idempotency_key" => Kind::Labelled {
-            group: match line.text(&key("group"))? {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                other => return Err(format!("'{other}' is no group")),
-            },
-            memory: line.time_or(&key("memorySpanMs"), 0)?,
-        },
-        "non_idempotent" => Kind::Irreversible,
-        other => return Err(format!("'{other}' is no effect")),
-    };
-    Ok(Lane { kind, agreed: line.time(&key("onTimeMs"))?, importance: line.number_or(&key("value"), 1.0)? })
-}
-
-fn plan(line: &Line, at: u64) -> Parsed<Plan> {
-    let number = |name: &str| line.number_or(&format!("tiersOfService.{at}.{name}"), 0.0);
-    let ceiling = Ceiling { rate: number("capRate")?, burst: number("ceilingBurst")? };
-    Ok(Plan {
-        rate: number("unitsPerS")?,
-        burst: number("burst")?,
-        most_out: number("maxOut")? as u32,
-        price: line.number_or(&format!("tiersOfService.{at}.valueFactor"), 1.0)?,
-        over_worth: number("excessWorth")?,
-        over_cost: number("excessCost")?,
-        ceiling: Some(ceiling).filter(|ceiling| ceiling.rate > 0.0),
-    })
-}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -12,9 +12,10 @@
 
 use fernscale::interface::{Listed, Micros, State};
 use fernscale::policy::Gateway;
+use fernscale::settings::{self, Fields, Parsed};
 
 use host::{Desk, WireHost};
-use wire::{from_base64, Line, Parsed};
+use wire::{from_base64, Line};
 
 struct Instance {
     gateway: Gateway<WireHost>,
@@ -72,9 +73,8 @@
 
     fn born(&mut self, line: &Line) -> Parsed<()> {
         let name = line.text("who")?.to_string();
-        let settings = host::settings(line)?;
-        let names = line.fields.get("telemetry.names").copied().unwrap_or_default();
-        let load_names = names.split(',').filter(|name| !name.is_empty()).map(String::from).collect();
+        let settings = settings::settings(line)?;
+        let load_names = line.names("telemetry.names");
         let desk = Rc::new(RefCell::new(Desk { now: self.now, ..Desk::default() }));
         let host = WireHost { name: name.clone(), desk: Rc::clone(&desk) };
         match catch_unwind(AssertUnwindSafe(|| Gateway::start(settings, host))) {
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 
 use fernscale::interface::{Id, Load, Micros, Outcome, Returned, Transaction};
-
-pub type Parsed<T> = Result<T, String>;
+use fernscale::settings::{self, Fields, Parsed};
 
 /// One line: its name and its `name=value` parts.
 pub struct Line<'a> {
@@ -12,6 +11,12 @@
     pub fields: HashMap<&'a str, &'a str>,
 }
 
+impl Fields for Line<'_> {
+    fn field(&self, key: &str) -> Option<&str> {
+        self.fields.get(key).copied()
+    }
+}
+
 impl<'a> Line<'a> {
     pub fn parse(text: &'a str) -> Parsed<Self> {
         let mut parts = text.split(' ');
@@ -24,65 +29,10 @@
         Ok(Line { name, fields })
     }
 
-    pub fn text(&self, key: &str) -> Parsed<&'a str> {
-        self.fields.get(key).copied().ok_or_else(|| format!("'{key}' is missing"))
-    }
-
     pub fn id(&self, key: &str) -> Parsed<Id> {
         self.text(key).map(Id::from)
     }
 
-    /// A number, or `None` where the field is absent.
-    pub fn maybe(&self, key: &str) -> Parsed<Option<f64>> {
-        let Some(text) = self.fields.get(key) else { return Ok(None) };
-        match text.parse::<f64>() {
-            Ok(number) if number.is_finite() => Ok(Some(number)),
-            _ => Err(format!("'{key}={text}' is no number")),
-        }
-    }
-
-    pub fn number(&self, key: &str) -> Parsed<f64> {
-        self.maybe(key)?.ok_or_else(|| format!("'{key}' is missing"))
-    }
-
-    pub fn number_or(&self, key: &str, absent: f64) -> Parsed<f64> {
-        Ok(self.maybe(key)?.unwrap_or(absent))
-    }
-
-    pub fn whole(&self, key: &str) -> Parsed<u64> {
-        let text = self.text(key)?;
-        text.parse().map_err(|_| format!("'{key}={text}' is no whole number"))
-    }
-
-    pub fn whole_or(&self, key: &str, absent: u64) -> Parsed<u64> {
-        if self.fields.contains_key(key) {
-            self.whole(key)
-        } else {
-            Ok(absent)
-        }
-    }
-
-    /// Milliseconds on the wire, whole microseconds from here on.
-    pub fn time(&self, key: &str) -> Parsed<Micros> {
-        Ok((self.number(key)? * 1000.0).round().max(0.0) as Micros)
-    }
-
-    pub fn time_or(&self, key: &str, absent: Micros) -> Parsed<Micros> {
-        if self.fields.contains_key(key) {
-            self.time(key)
-        } else {
-            Ok(absent)
-        }
-    }
-
-    pub fn flag(&self, key: &str) -> Parsed<bool> {
-        match self.fields.get(key).copied() {
-            None | Some("0") | Some("false") => Ok(false),
-            Some("1") | Some("true") => Ok(true),
-            Some(other) => Err(format!("'{key}={other}' is neither yes nor no")),
-        }
-    }
-
     pub fn outcome(&self) -> Parsed<Outcome> {
         Ok(match self.text("rc")? {
             "S" => Outcome::Ok,
@@ -101,14 +51,7 @@
         let mut load = Load::default();
         let Some(text) = self.fields.get("serverStats") else { return Ok(load) };
         for (name, value) in names.iter().zip(text.split(',')) {
-            let value: f64 = value.parse().map_err(|_| format!("'{value}' in a load report is no number"))?;
-            match name.as_str() {
-                "busy_reqs" => load.in_flight = Some(value),
-                "pending" => load.waiting = Some(value),
-                "cpu_share" => load.busy = Some(value),
-                "svc_ms" => load.service = Some((value * 1000.0).max(0.0) as Micros),
-                _ => {}
-            }
+            settings::load(&mut load, name, value)?;
         }
         Ok(load)
     }
