--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,6 +38,8 @@
 const BELIEF: f64 = 6.0;
 /// Time of one name of a count, µs: the counter's longest, as a new name knows nothing of the past.
 const SPAN: Micros = 60 * SECOND;
+/// Fades in a name: by its end a unit weighs so much more, and counters take and tell 1e9 at the most.
+const FADES: f64 = 16.0;
 /// Time in which what was offered fades, in fills of the store, and the least, µs: longer, a spike hides in a
 /// calm minute; shorter, a count holds too few transactions to tell a fraction.
 const FADE: f64 = 0.25;
@@ -350,12 +352,12 @@
             customer.guess(new, plan, now);
             return self.decide(&id, now);
         }
-        let (grown, fade) = plan.grown(customer.span * SPAN, now);
+        let (grown, fade, _) = plan.grown(customer.span, now);
         let others = (total - customer.known - amount).max(0.0) / grown;
         // A young name has not heard of all that would count.
-        let heard = (1.0 - (-((now - customer.span * SPAN) as f64) / fade).exp()).max(ROUNDING);
+        let heard = (1.0 - (-((now - customer.span) as f64) / fade).exp()).max(ROUNDING);
         let all = total / grown / heard;
-        let told = customer.told.unwrap_or(0).max(customer.span * SPAN);
+        let told = customer.told.unwrap_or(0).max(customer.span);
         let gap = (now - told) as f64 / fade;
         (customer.known, customer.told) = (total, Some(now));
         if gap < KEPT {
@@ -478,7 +480,8 @@
     fn post(&mut self, id: &Id, now: Micros) {
         let share = self.chance_of_call(now);
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let (plan, span) = (&self.settings.plans[customer.plan], now / SPAN);
+        let plan = &self.settings.plans[customer.plan];
+        let span = now - now % plan.grown(now, now).2;
         let free = customer.adding.is_none() && now >= customer.called + PERIOD && plan.rate > 0.0;
         if !free || !self.settings.counter || customer.spread <= 1.0 {
             return;
@@ -489,7 +492,7 @@
         let new = std::mem::take(&mut customer.offered);
         (customer.called, customer.left, customer.seen) = (now, customer.left / 2.0, customer.seen / 2.0);
         // Few calls are for those whose quota is in doubt, and no more of them than a count needs.
-        let (grown, fade) = plan.grown(span * SPAN, now);
+        let (grown, fade, _) = plan.grown(span, now);
         let enough = (SAMPLES * new.abs() / (customer.demand * fade).max(ROUNDING)).min(1.0);
         let share = match customer.doubt {
             _ if share >= 1.0 => 1.0,
@@ -497,7 +500,6 @@
             false => share * share * enough,
         };
         if share < 1.0 && self.chance.gen::<f64>() >= share {
-            customer.fill(plan, now);
             return customer.guess(new, plan, now);
         }
         let amount = new / share * grown;
@@ -725,10 +727,9 @@
         let kind = self.settings.lanes[open.asked.lane].kind;
         let harmless = matches!(kind, Kind::Redoable | Kind::Labelled { group: Group::All, .. })
             || !open.trips.iter().any(|trip| trip.may_have_run);
-        if harmless {
-            self.host.nack(id, self.settings.longest_wait);
-        } else {
-            self.host.abandon(id);
+        match harmless {
+            true => self.host.nack(id, self.settings.longest_wait),
+            false => self.host.abandon(id),
         }
         self.close(id, None);
     }
@@ -764,8 +765,7 @@
         self.store = (self.store + plan.rate * shared * time).min(plan.burst);
         if let Some(Ceiling { rate, burst }) = plan.ceiling {
             // What waits leaves later: were its part to fill up meanwhile, both could leave at once.
-            let most = burst / self.spread - self.held;
-            self.ceiling = (self.ceiling + rate / self.spread * time).min(most);
+            self.ceiling = (self.ceiling + rate / self.spread * time).min(burst / self.spread - self.held);
         }
         self.filled = now;
     }
@@ -792,10 +792,10 @@
 }
 
 impl Plan {
-    /// What a unit weighs in a count, beside one at its start, and the time in which older ones so fade.
-    fn grown(&self, start: Micros, now: Micros) -> (f64, f64) {
+    /// What a unit weighs beside one at its name's start, the time in which units fade, and that of a name.
+    fn grown(&self, start: Micros, now: Micros) -> (f64, f64, Micros) {
         let fade = (FADE * self.burst / self.rate.max(ROUNDING) * SECOND as f64).max(LEAST_FADE);
-        ((now.saturating_sub(start) as f64 / fade).exp(), fade)
+        ((now.saturating_sub(start) as f64 / fade).exp(), fade, SPAN.min((FADES * fade) as Micros))
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -329,3 +329,20 @@
     bed.end(&asked, 1, &id("s9"), Outcome::TimedOut, 100 * MS);
     assert_eq!(sends(&bed.did()), [], "{other} would run it twice");
 }
+
+#[test]
+fn no_amount_is_too_large_or_too_small_for_the_counter_whenever_it_is_told() {
+    // Gateways on real clocks are born at any time of a minute; the counter takes 1e9, and rounds to thousandths.
+    let plan = Plan { rate: 2.0, burst: 4.0, ..wide() };
+    for start in 0..120 {
+        let mut bed = Bed::new(settings(Kind::Redoable, plan.clone()), 4);
+        bed.pass(500 * MS * start);
+        bed.did();
+        bed.ask("c", 2_000 * MS);
+        let added = adds(&bed.did());
+        assert!(
+            added.len() == 1 && (0.5..=1e8).contains(&added[0].1),
+            "{added:?} after {start} half seconds"
+        );
+    }
+}
