--- a/gateway/src/routing/peer.rs
+++ b/gateway/src/routing/peer.rs
@@ -40,6 +40,7 @@
     server: Id,
     address: Cell<SocketAddr>,
     idle: RefCell<Vec<Connection>>,
+    swept: Cell<Instant>,
     trips: RefCell<HashMap<(Id, usize), Task<()>>>,
     shared: Rc<Shared>,
     events: Sender<Event>,
@@ -52,6 +53,7 @@
         server: server.clone(),
         address: Cell::new(address),
         idle: RefCell::default(),
+        swept: Cell::new(Instant::now()),
         trips: RefCell::default(),
         shared: shared.clone(),
         events: events.clone(),
@@ -64,20 +66,23 @@
     async fn run(self: Rc<Self>, mailbox: Receiver<Order>) {
         let mut mailbox = std::pin::pin!(mailbox);
         loop {
-            let idle = !self.idle.borrow().is_empty();
+            let next = self.swept.get() + SWEEP;
             let sweep = async {
-                if idle {
-                    Timer::after(SWEEP).await;
-                } else {
+                if self.idle.borrow().is_empty() {
                     future::pending::<()>().await;
                 }
+                Timer::at(next).await;
                 Some(None)
             };
             match future::or(async { mailbox.next().await.map(Some) }, sweep).await {
                 Some(Some(order)) => self.obey(order).await,
-                Some(None) => self.sweep(),
+                Some(None) => {}
                 None => break,
             }
+            if Instant::now() >= next {
+                self.swept.set(Instant::now());
+                self.idle.borrow_mut().retain(|connection| self.good(connection));
+            }
         }
         for (_, task) in self.trips.take() {
             task.detach();
@@ -123,9 +128,10 @@
         }
     }
 
-    fn sweep(&self) {
+    /// Whether an idle connection may be used: it is open, and the server won't close it under a trip.
+    fn good(&self, connection: &Connection) -> bool {
         let most = Duration::from_micros((KEPT * self.shared.outside.idle as f64) as Micros);
-        self.idle.borrow_mut().retain(|connection| connection.used.elapsed() < most && connection.quiet());
+        connection.used.elapsed() < most && connection.quiet()
     }
 
     async fn trip(self: Rc<Self>, call: Rc<Call>, trip: usize, limit: Micros, made: Instant) {
@@ -179,10 +185,15 @@
         Ok(said)
     }
 
-    /// The idle connection used last, so that those not needed any more grow old.
+    /// The good idle connection used last, so that those not needed any more grow old.
     fn quiet_one(&self) -> Option<Connection> {
-        self.sweep();
-        self.idle.borrow_mut().pop()
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if self.good(&connection) {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     async fn dial(&self) -> Result<Connection, Ending> {
--- /dev/null
+++ b/gateway/tests/parsers.rs
@@ -0,0 +1,283 @@
+//! The parsers on every split of their input, on generated input, and on input that means harm.
+
+use fernscale_gateway::protocol::call::{self, Answer, Request, Said};
+use fernscale_gateway::protocol::{http, resp, Scanned};
+use fernscale_gateway::transport::buffer::Buffer;
+
+use fernscale::settings::Outside;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use resp::Reply;
+
+/// Whatever comes after a message, or is missing from it, must not change what is read.
+fn on_every_split<T: PartialEq + std::fmt::Debug>(input: &[u8], scan: impl Fn(&[u8]) -> Scanned<T>) -> T {
+    for end in 0..input.len() {
+        assert_eq!(scan(&input[..end]), Ok(None), "{end} bytes of {}", String::from_utf8_lossy(input));
+    }
+    let (whole, length) = scan(input).expect("good").expect("whole");
+    assert_eq!(length, input.len());
+    for tail in [&b"*1\r\n$4\r\nPING\r\n"[..], b"\r\n", b"\0garbage"] {
+        let (joined, length) = scan(&[input, tail].concat()).expect("good").expect("whole");
+        assert_eq!((&joined, length), (&whole, input.len()));
+    }
+    whole
+}
+
+fn words(bytes: &[u8]) -> Scanned<Vec<Vec<u8>>> {
+    let found = resp::command(bytes)?;
+    Ok(found.map(|(words, length)| (words.into_iter().map(<[u8]>::to_vec).collect(), length)))
+}
+
+/// A reply in a form that outlives its bytes.
+fn shown(bytes: &[u8]) -> Scanned<String> {
+    Ok(resp::reply(bytes)?.map(|(reply, length)| (format!("{reply:?}"), length)))
+}
+
+#[test]
+fn commands_are_read_back_however_they_are_split() {
+    fn back(command: Vec<Vec<u8>>) -> bool {
+        let command: Vec<_> = command.into_iter().take(9).collect();
+        let slices: Vec<&[u8]> = command.iter().map(Vec::as_slice).collect();
+        command.is_empty() || on_every_split(&resp::write_command(&slices), words) == command
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(24, 7)).tests(200).quickcheck(back as fn(_) -> _);
+}
+
+#[test]
+fn replies_are_read_however_they_are_split() {
+    for (bytes, meaning) in [
+        (&b"+PONG\r\n"[..], "Simple([80, 79, 78, 71])"),
+        (b"-BUSY\r\n", "Error([66, 85, 83, 89])"),
+        (b":-12\r\n", "Number(-12)"),
+        (b"$-1\r\n", "Bulk(None)"),
+        (b"$0\r\n\r\n", "Bulk(Some([]))"),
+        (b"$4\r\n\r\n\r\n\r\n", "Bulk(Some([13, 10, 13, 10]))"),
+        (b"*-1\r\n", "Array(None)"),
+        (b"*0\r\n", "Array(Some([]))"),
+        (b"*2\r\n$1\r\nx\r\n*1\r\n$-1\r\n", "Array(Some([Bulk(Some([120])), Array(Some([Bulk(None)]))]))"),
+    ] {
+        assert_eq!(on_every_split(bytes, shown), meaning);
+    }
+}
+
+#[test]
+fn what_is_no_resp_is_an_error_and_not_awaited() {
+    let long = [&b"*1\r\n$"[..], &[b'1'; 2_000]].concat();
+    let commands: [&[u8]; 13] = [
+        b"PING\r\n",
+        b"\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*17\r\n",
+        b"*1000000000\r\n",
+        b"*+1\r\n",
+        b"*1\n",
+        b"*1\rx",
+        b"*1\r\n:5\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*1\r\n$1\r\nxy",
+    ];
+    for bad in commands.into_iter().chain([&long[..], b"*99999999999999999999\r\n"]) {
+        assert!(resp::command(bad).is_err(), "{}", String::from_utf8_lossy(bad));
+    }
+    let replies: [&[u8]; 7] = [
+        b"?\r\n",
+        b"$-2\r\n",
+        b"$x\r\n",
+        b":1.5\r\n",
+        b"*17\r\n",
+        b"$1\r\nxy",
+        b"*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n",
+    ];
+    for bad in replies {
+        assert!(resp::reply(bad).is_err(), "{}", String::from_utf8_lossy(bad));
+    }
+    // Five values of full size, each fine in itself, are no command that is taken.
+    let value = [b'x'; resp::MOST_BULK];
+    assert!(resp::command(&resp::write_command(&[&value, &value])).is_err());
+}
+
+#[test]
+fn no_bytes_at_all_break_the_parsers() {
+    #[derive(Clone, Debug)]
+    struct Bytes(Vec<u8>);
+    impl Arbitrary for Bytes {
+        fn arbitrary(from: &mut Gen) -> Self {
+            let parts: [&[u8]; 12] = [
+                b"*",
+                b"$",
+                b"-",
+                b":",
+                b"3",
+                b"1",
+                b"\r\n",
+                b"\r",
+                b"HTTP/1.1 200 OK",
+                b"Content-Length: 2",
+                b"Transfer-Encoding: chunked",
+                b"\0\xff",
+            ];
+            let length = usize::arbitrary(from) % 20;
+            Bytes((0..length).flat_map(|_| from.choose(&parts).expect("some").to_vec()).collect())
+        }
+    }
+    fn holds(Bytes(bytes): Bytes) -> bool {
+        let within = |found: Option<usize>| found.is_none_or(|length| length > 0 && length <= bytes.len());
+        within(resp::command(&bytes).ok().flatten().map(|(_, length)| length))
+            && within(resp::reply(&bytes).ok().flatten().map(|(_, length)| length))
+            && within(http::response(&bytes, true).ok().flatten().map(|(_, length)| length))
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 7)).tests(20_000).quickcheck(holds as fn(_) -> _);
+}
+
+#[test]
+fn responses_are_read_however_they_are_split() {
+    let scan = |bytes: &[u8]| http::response(bytes, false);
+    let body = |bytes: &[u8]| {
+        let response = on_every_split(bytes, scan);
+        (response.status, String::from_utf8(response.body).expect("text"), response.keep)
+    };
+    let plain = b"HTTP/1.1 200 OK\r\nContent-Type: a\r\ncontent-length: 4\r\n\r\n{}\r\n";
+    assert_eq!(body(plain), (200, "{}\r\n".into(), true));
+    let chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\n{\"\r\nB\r\na\":\"b\r\n\"}..\r\n0\r\nT: x\r\n\r\n";
+    assert_eq!(body(chunks), (200, "{\"a\":\"b\r\n\"}..".into(), true));
+    let closes = b"HTTP/1.1 503 Busy\r\nConnection: x, Close\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(body(closes), (503, String::new(), false));
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    assert_eq!(body(interim), (200, "x".into(), true));
+    // Without a length the body lasts until the connection ends.
+    let open = b"HTTP/1.0 200 OK\r\n\r\nall of it";
+    assert_eq!(http::response(open, false), Ok(None));
+    let (response, length) = http::response(open, true).expect("good").expect("whole");
+    assert_eq!((&response.body[..], response.keep, length), (&b"all of it"[..], false, open.len()));
+}
+
+#[test]
+fn what_is_no_response_is_an_error() {
+    for bad in [
+        "SSH-2.0-x\r\n\r\n",
+        "HTTP/1.1 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxyz\r\n",
+        &"x".repeat(20_000),
+    ] {
+        assert!(http::response(bad.as_bytes(), false).is_err(), "{bad:.60}");
+    }
+}
+
+fn outside() -> Outside {
+    let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    Outside { lanes: names(&["lookup", "order"]), plans: names(&["team"]), ..Outside::default() }
+}
+
+fn request(list: &str) -> Result<Request, String> {
+    call::request(&[b"CALL.GET", b"00000000b4d65521", b"9b1f", list.as_bytes()], &outside())
+}
+
+#[test]
+fn a_call_is_passed_on_as_it_came_but_for_the_time() {
+    let list = "c=order,x=unknown,t=team,d=480,k=5c0f,units=2,spread=3,first=1";
+    let words: [&[u8]; 5] =
+        [b"CALL.POST", b"00000000b4d65521", b"9b1f03aa5c7e2d41", list.as_bytes(), b"BO\r\nDY"];
+    let Ok(Request::Call(call)) = call::request(&words, &outside()) else { panic!("no call") };
+    let asked = &call.transaction;
+    assert_eq!((asked.lane, asked.plan, asked.left), (1, 0, 480_000));
+    assert_eq!((asked.units, asked.spread, asked.first), (2.0, 3, 1));
+    let sent = call.command(77_001);
+    let (sent, _) = resp::command(&sent).expect("good").expect("whole");
+    assert_eq!(sent[3], list.replace("d=480", "d=78").as_bytes());
+    assert_eq!([sent[0], sent[1], sent[2], sent[4]], [words[0], words[1], words[2], words[4]]);
+}
+
+#[test]
+fn calls_that_are_asked_wrongly_are_told_so() {
+    assert!(matches!(request("c=lookup,t=team,d=480"), Ok(Request::Call(_))));
+    for list in [
+        "t=team,d=480",
+        "c=lookup,d=480",
+        "c=lookup,t=team",
+        "c=other,t=team,d=480",
+        "c=lookup,t=other,d=480",
+        "c=lookup,t=team,d=soon",
+        "c=lookup,t=team,d=-1",
+        "c=lookup,t=team,d=NaN",
+        "c=lookup,t=team,d=480,units=-1",
+        "c=lookup,t=team,d=480,spread=x",
+        "c=lookup;t=team",
+        "",
+        "c=lookup,t=team,d=480\r\n",
+    ] {
+        let why = request(list).expect_err(list);
+        assert!(!call::error(&why)[..].windows(2).rev().skip(1).any(|two| two == b"\r\n"), "{why}");
+    }
+    for customer in ["b4d65521", "+0000000b4d65521", "0000000200000000", "00000000b4d6552g"] {
+        let words: [&[u8]; 4] = [b"CALL.GET", customer.as_bytes(), b"9b1f", b"c=lookup,t=team,d=480"];
+        assert!(call::request(&words, &outside()).is_err(), "{customer}");
+    }
+}
+
+#[test]
+fn replies_of_servers_mean_what_the_protocol_says() {
+    let names = vec!["busy_reqs".to_string()];
+    let said = |bytes: &[u8]| {
+        let (reply, _) = resp::reply(bytes).expect("good").expect("whole");
+        call::said(&reply, &names)
+    };
+    let (settled, load) =
+        said(b"*3\r\n$2\r\nok\r\n$14\r\nused=86,cost=3\r\n$11\r\nbusy_reqs=7\r\n").expect("an answer");
+    assert_eq!(settled, Said::Settled { value: b"ok"[..].into(), units: Some(3.0) });
+    assert_eq!(load.in_flight, Some(7.0));
+    assert_eq!(
+        said(b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n").expect("an answer").0,
+        Said::Settled { value: [].into(), units: None }
+    );
+    assert_eq!(said(b"-ERR failed\r\n").expect("an error").0, Said::Failed);
+    let (full, load) = said(b"-BUSY busy_reqs=9\r\n").expect("an error");
+    assert_eq!((full, load.in_flight), (Said::Full, Some(9.0)));
+    for bad in [&b"+OK\r\n"[..], b"$2\r\nok\r\n", b"*0\r\n", b"*1\r\n$-1\r\n", b"*-1\r\n"] {
+        assert!(said(bad).is_err());
+    }
+    assert_eq!(Answer::Nacked(500_000).write(), b"-BUSY 500\r\n");
+    assert_eq!(Answer::Nacked(0).write(), b"-BUSY\r\n");
+    assert_eq!(on_every_split(&Answer::Settled(b"v"[..].into()).write(), shown), "Bulk(Some([118]))");
+    assert!(matches!(resp::reply(&Answer::Abandoned.write()), Ok(Some((Reply::Error(_), _)))));
+}
+
+#[test]
+fn a_buffer_keeps_what_is_in_it_however_it_is_filled_and_read() {
+    fn keeps(steps: Vec<(u8, u8)>) -> bool {
+        let (mut buffer, mut model, mut next) = (Buffer::new(5_000), Vec::new(), 0u8);
+        for (filled, read) in steps {
+            for _ in 0..filled {
+                let room = buffer.room();
+                let count = room.len().min(37);
+                for place in &mut room[..count] {
+                    *place = next;
+                    model.push(next);
+                    next = next.wrapping_add(1);
+                }
+                buffer.filled_up(count);
+            }
+            let count = model.len().min(16 * usize::from(read));
+            buffer.consume(count);
+            model.drain(..count);
+            if buffer.filled() != model || model.len() > 5_000 || buffer.is_empty() != model.is_empty() {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 7)).tests(300).quickcheck(keeps as fn(_) -> _);
+    // Full is full: a message that is longer than any may be is not awaited.
+    let mut buffer = Buffer::new(5_000);
+    while !buffer.room().is_empty() {
+        let count = buffer.room().len();
+        buffer.filled_up(count);
+    }
+    assert_eq!(buffer.filled().len(), 5_000);
+}
