--- a/gateway/src/routing/counter.rs
+++ b/gateway/src/routing/counter.rs
@@ -20,6 +20,9 @@
 
 /// Calls that wait for their answers at most, late ones too: some seconds of all that a counter can do.
 const MOST_CALLS: usize = 4_096;
+/// On sockets every time limit of a site is longer by this, as messages take time to arrive. A call whose answer
+/// is given up may have been added or turned away: each one not known puts a shared count out for a minute.
+const SLACK: Duration = Duration::from_millis(50);
 /// A connection on which nothing has come for so long, with calls out, is taken to be dead: a machine that
 /// vanished says nothing.
 const DEAD: Duration = Duration::from_secs(2);
@@ -68,7 +71,7 @@
             shared: shared.clone(),
             events: events.clone(),
             address,
-            wait: Duration::from_micros(shared.outside.call),
+            wait: Duration::from_micros(shared.outside.call) + SLACK,
             connection: None,
             out: VecDeque::new(),
             late: 0,
@@ -158,7 +161,8 @@
                 }
                 Err(_) => None,
             };
-            let (Some(told), Some(out)) = (told, self.out.pop_front()) else {
+            // What can't be understood answers no call: that one is told of with the rest.
+            let Some((told, out)) = told.and_then(|told| Some((told, self.out.pop_front()?))) else {
                 return self.ended(Ending::Garbled).await;
             };
             if self.late > 0 {
--- a/gateway/src/routing/peer.rs
+++ b/gateway/src/routing/peer.rs
@@ -36,12 +36,16 @@
     Move(SocketAddr),
 }
 
+/// A transaction, and the number of the trip.
+type Trip = (Id, usize);
+
 struct Peer {
     server: Id,
     address: Cell<SocketAddr>,
     idle: RefCell<Vec<Connection>>,
     swept: Cell<Instant>,
-    trips: RefCell<HashMap<(Id, usize), Task<()>>>,
+    /// The trips that are out, and when each was made.
+    trips: RefCell<HashMap<Trip, (Task<()>, Instant)>>,
     shared: Rc<Shared>,
     events: Sender<Event>,
 }
@@ -84,7 +88,7 @@
                 self.idle.borrow_mut().retain(|connection| self.good(connection));
             }
         }
-        for (_, task) in self.trips.take() {
+        for (task, _) in self.trips.take().into_values() {
             task.detach();
         }
     }
@@ -95,16 +99,16 @@
                 let key = (call.transaction.id.clone(), trip);
                 let peer = self.clone();
                 let task = self.shared.executor.spawn(peer.trip(call, trip, limit, made));
-                self.trips.borrow_mut().insert(key, task);
+                self.trips.borrow_mut().insert(key, (task, made));
             }
             Order::Cancel { transaction, trip } => {
                 let task = self.trips.borrow_mut().remove(&(transaction.clone(), trip));
-                if let Some(task) = task {
+                if let Some((task, made)) = task {
                     // Its connection is closed before its end is told.
                     task.cancel().await;
                     let end = Err(Lost::unsent(Ending::GivenUp));
-                    let server = self.server.clone();
-                    let returned = Event::Returned(Return { transaction, trip, server, end, took: 0 });
+                    let (server, took) = (self.server.clone(), micros(made.elapsed()));
+                    let returned = Event::Returned(Return { transaction, trip, server, end, took });
                     // The module waits for this mailbox at times, so this actor never waits for the module's.
                     let events = self.events.clone();
                     let tell = async move { drop(events.send(returned).await) };
@@ -138,7 +142,7 @@
         let until = made + Duration::from_micros(limit);
         let end = self.exchange(&call.command(limit), until, |reply| call::said(reply, self.load())).await;
         let transaction = call.transaction.id.clone();
-        if let Some(task) = self.trips.borrow_mut().remove(&(transaction.clone(), trip)) {
+        if let Some((task, _)) = self.trips.borrow_mut().remove(&(transaction.clone(), trip)) {
             task.detach();
         }
         let (server, took) = (self.server.clone(), micros(made.elapsed()));
--- a/gateway/src/transport/clock.rs
+++ b/gateway/src/transport/clock.rs
@@ -1,33 +1,52 @@
 //! The time that the module is told.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fernscale::interface::Micros;
 
-/// Reads as the clock that all machines share did at the start, and goes on evenly from there: a shared clock
-/// that is set back or forth must not stretch or end what is measured in between.
-#[derive(Clone, Copy, Debug)]
+/// Part of the time gone by that the clock may be set forth or back by: intervals come out right to that part.
+const SLEW: i64 = 64;
+
+/// Reads as the clock that all machines share, yet goes on evenly: where that one is set to another time, this one
+/// follows it slowly, and never runs back, or what is measured in between would stretch or end at once.
+#[derive(Debug)]
 pub struct Clock {
     start: Instant,
-    shared: Micros,
+    /// How far this clock was ahead of the time since the start, when last looked at, and that time.
+    ahead: Cell<(i64, i64)>,
 }
 
 impl Clock {
     pub fn start() -> Self {
-        let shared = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Clock { start: Instant::now(), shared: micros(shared) }
+        let clock = Clock { start: Instant::now(), ahead: Cell::default() };
+        clock.ahead.set((shared(), 0));
+        clock
     }
 
     pub fn now(&self) -> Micros {
-        self.shared + micros(self.start.elapsed())
+        let since = micros(self.start.elapsed()) as i64;
+        let ahead = follow(self.ahead.get(), since, shared());
+        self.ahead.set((ahead, since));
+        (since + ahead) as Micros
     }
 
     /// The instant of a time told by this clock.
     pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.shared))
+        self.start + Duration::from_micros((at as i64 - self.ahead.get().0).max(0) as u64)
     }
 }
 
+fn shared() -> i64 {
+    micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)) as i64
+}
+
+/// How far ahead the clock is now, by how far it was some time ago and what the shared one says.
+pub fn follow((ahead, looked): (i64, i64), since: i64, shared: i64) -> i64 {
+    let most = (since - looked) / SLEW;
+    ahead + (shared - since - ahead).clamp(-most, most)
+}
+
 pub fn micros(time: Duration) -> Micros {
     time.as_micros() as Micros
 }
--- /dev/null
+++ b/gateway/tests/actors.rs
@@ -0,0 +1,110 @@
+//! Single actors, without a process round them.
+
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use fernscale::interface::Outcome;
+use fernscale::settings::Outside;
+use fernscale_gateway::routing::counter::{Add, Counter};
+use fernscale_gateway::routing::outcome::of_call;
+use fernscale_gateway::routing::{Event, Shared};
+use fernscale_gateway::transport::clock::{follow, Clock};
+use fernscale_gateway::transport::limits::Limits;
+
+fn shared() -> Rc<Shared> {
+    Rc::new(Shared {
+        executor: Rc::new(LocalExecutor::new()),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        clock: Clock::start(),
+        limits: Limits::new(1024),
+        outside: Outside { call: 50_000, ..Outside::default() },
+        discovery: SocketAddr::from(([127, 0, 0, 1], 1)),
+        ready: Cell::new(true),
+        stopping: Cell::new(false),
+    })
+}
+
+/// A counter that answers the call at each place after so many milliseconds, with these bytes.
+fn counter(answers: Vec<(u64, &'static [u8])>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a gateway");
+        for (wait, bytes) in answers {
+            let _ = stream.read(&mut [0; 1]);
+            thread::sleep(Duration::from_millis(wait));
+            let _ = stream.write_all(bytes);
+        }
+        thread::sleep(Duration::from_secs(5));
+    });
+    address
+}
+
+/// What each of the calls came to, in the order in which that was told.
+fn outcomes(address: SocketAddr, calls: &[&str]) -> Vec<(String, Outcome, f64)> {
+    let shared = shared();
+    let (events, told): (Sender<Event>, Receiver<Event>) = async_channel::bounded(16);
+    let (orders, mailbox) = async_channel::bounded(16);
+    shared.executor.spawn(Counter::new(&shared, &events, address).run(mailbox)).detach();
+    let all = async {
+        for count in calls {
+            let add = Add { count: (*count).into(), amount: 1.0, life: 4_000_000, made: Instant::now() };
+            orders.send(add).await.expect("the actor runs");
+        }
+        let mut all = Vec::new();
+        while all.len() < calls.len() {
+            if let Event::Counted { count, end, .. } = told.recv().await.expect("the actor runs") {
+                let (outcome, total) = of_call(&end);
+                all.push((count.to_string(), outcome, total));
+            }
+        }
+        all
+    };
+    async_io::block_on(shared.executor.run(all))
+}
+
+fn told(count: &str, outcome: Outcome, total: f64) -> (String, Outcome, f64) {
+    (count.into(), outcome, total)
+}
+
+#[test]
+fn an_answer_that_is_late_is_waited_for_and_one_later_still_answers_no_other_call() {
+    let address = counter(vec![(70, b"$1\r\n7\r\n"), (0, b"$1\r\n8\r\n")]);
+    assert_eq!(outcomes(address, &["a"]), [told("a", Outcome::Ok, 7.0)]);
+    let address = counter(vec![(250, b"$1\r\n7\r\n$1\r\n8\r\n")]);
+    let all = outcomes(address, &["a", "b"]);
+    assert_eq!(all, [told("a", Outcome::TimedOut, 0.0), told("b", Outcome::TimedOut, 0.0)]);
+}
+
+#[test]
+fn calls_that_surely_added_nothing_are_told_from_those_that_may_have() {
+    let nobody = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    assert_eq!(outcomes(nobody, &["a"]), [told("a", Outcome::NotConnected, 0.0)]);
+    let full = counter(vec![(0, b"-BUSY\r\n-ERR no\r\n")]);
+    assert_eq!(outcomes(full, &["a", "b"]), [told("a", Outcome::Full, 0.0), told("b", Outcome::Full, 0.0)]);
+    // Each call is told of, also that to which something came that can't be understood.
+    let garbled = counter(vec![(30, b"$1\r\nx\r\n")]);
+    let all = outcomes(garbled, &["a", "b"]);
+    assert_eq!(all, [told("a", Outcome::TimedOut, 0.0), told("b", Outcome::TimedOut, 0.0)]);
+}
+
+#[test]
+fn a_clock_that_is_set_is_followed_slowly_and_never_back() {
+    for (set, steps) in [(3_000_000, 64 * 3), (-3_000_000, 64 * 3), (0, 1)] {
+        let (mut ahead, mut since) = (1_000_000_000, 0);
+        for step in 1..=steps {
+            let before = since + ahead;
+            ahead = follow((ahead, since), since + 1_000_000, 1_000_000_000 + set + since + 1_000_000);
+            since += 1_000_000;
+            let gone = since + ahead - before;
+            assert!((980_000..=1_020_000).contains(&gone), "{gone} in a second at step {step}");
+        }
+        assert_eq!(ahead, 1_000_000_000 + set);
+    }
+}
