--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,4 +1,4 @@
-//! One gateway on sockets: transport below, then protocol, then routing round the decision module, then the program.
+//! One gateway on sockets, by layers: protocol, transport, routing round the decision module, program.
 
 pub mod program;
 pub mod protocol;
--- a/gateway/src/routing/client.rs
+++ b/gateway/src/routing/client.rs
@@ -25,8 +25,10 @@
 const UNREAD: Duration = Duration::from_secs(10);
 /// How long a client may take to read the error that ends its connection.
 const LINGER: Duration = Duration::from_secs(1);
-/// Pause while there is no place for another connection.
+/// Pause while there is no place for another connection, and after one that could not be accepted: the machine is
+/// then out of descriptors, and a line in the log for each try would not help it.
 const FULL: Duration = Duration::from_millis(5);
+const FAILED: Duration = Duration::from_millis(100);
 
 /// Connections between two transactions, the longest idle first.
 type Idle = Rc<RefCell<BTreeMap<(Instant, u64), Sender<()>>>>;
@@ -54,7 +56,7 @@
                 Err(error) => {
                     // Out of descriptors, or a client that left at once: others wait meanwhile.
                     warn!(self.shared.log, "a client could not be accepted"; "why" => error.to_string());
-                    Timer::after(FULL).await;
+                    Timer::after(FAILED).await;
                 }
             }
         }
@@ -171,8 +173,6 @@
                 if leaves && self.connection.still() {
                     return Ending::Stopping;
                 }
-            } else if self.waiting[0].answer.is_some() {
-                continue;
             }
             match self.step().await {
                 Step::Answer(number, answer, places) => {
--- a/gateway/src/routing/peer.rs
+++ b/gateway/src/routing/peer.rs
@@ -16,7 +16,7 @@
 
 use super::outcome::Lost;
 use super::{Event, Return, Shared, MOST_ORDERS};
-use crate::protocol::call::{self, Call, Said};
+use crate::protocol::call::{self, Call};
 use crate::protocol::resp::{self, Reply};
 use crate::transport::clock::micros;
 use crate::transport::connection::{within, Connection};
@@ -154,10 +154,10 @@
         let until = Instant::now() + Duration::from_micros(self.shared.outside.dial);
         let command = resp::write_command(&[b"PING"]);
         let said = |reply: &Reply| match reply {
-            Reply::Simple(_) => Ok((Said::Settled { value: Box::default(), units: None }, Load::default())),
+            Reply::Simple(_) => Ok(Load::default()),
             _ => Err("no good word"),
         };
-        self.exchange(&command, until, said).await.map(|(_, load)| load)
+        self.exchange(&command, until, said).await
     }
 
     fn load(&self) -> &[String] {
