--- a/gateway/src/routing/counter.rs
+++ b/gateway/src/routing/counter.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
 use fernscale::interface::Micros;
 use futures_lite::{future, StreamExt};
 use slog::{info, warn};
@@ -14,7 +13,7 @@
 use super::outcome::Lost;
 use super::{Event, Shared};
 use crate::protocol::resp::{self, Reply};
-use crate::transport::clock::micros;
+use crate::transport::clock::{micros, Alarm};
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::Ending;
 
@@ -81,8 +80,9 @@
 
     pub async fn run(mut self, mailbox: Receiver<Add>) {
         let mut mailbox = std::pin::pin!(mailbox);
+        let mut alarm = Alarm::new();
         loop {
-            let alarm = match self.out.get(self.late) {
+            let next = match self.out.get(self.late) {
                 Some(next) => Some(next.made + self.wait),
                 None if self.out.is_empty() => None,
                 None => Some(self.heard + DEAD),
@@ -96,10 +96,7 @@
                 }
             };
             let late = async {
-                match alarm {
-                    Some(at) => drop(Timer::at(at).await),
-                    None => future::pending().await,
-                }
+                alarm.ring(next).await;
                 Step::Late
             };
             match future::or(heard, future::or(late, order)).await {
--- a/gateway/src/routing/module.rs
+++ b/gateway/src/routing/module.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender, TrySendError};
-use async_io::Timer;
 use fernscale::interface::{Host, Id, Load, Micros, Returned, Settings, State};
 use fernscale::policy::Gateway;
 use futures_lite::{future, StreamExt};
@@ -18,6 +17,7 @@
 use super::{list, peer, Asked, Event, Reply, Return, Shared};
 use crate::protocol::call::{Answer, Call, Said};
 use crate::protocol::catalog::Members;
+use crate::transport::clock::Alarm;
 use crate::transport::ending::Ending;
 
 /// What the module wants done, in its order.
@@ -151,18 +151,18 @@
             self.learn(&known);
         }
         self.act().await;
+        let mut alarm = Alarm::new();
         loop {
             let next = self.alarms.first_key_value().map(|((at, _), _)| self.shared.clock.instant(*at));
-            let alarm = async {
-                match next {
-                    Some(at) => drop(Timer::at(at).await),
-                    None => future::pending().await,
-                }
-                None
-            };
             let event = match mailbox.try_recv() {
                 Ok(event) => Some(event),
-                Err(_) => future::or(async { mailbox.next().await }, alarm).await,
+                Err(_) => {
+                    let ring = async {
+                        alarm.ring(next).await;
+                        None
+                    };
+                    future::or(async { mailbox.next().await }, ring).await
+                }
             };
             if let Some(event) = event {
                 self.tell(event);
--- a/gateway/src/routing/peer.rs
+++ b/gateway/src/routing/peer.rs
@@ -10,7 +10,6 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use async_io::Timer;
 use fernscale::interface::{Id, Load, Micros};
 use futures_lite::{future, StreamExt};
 
@@ -18,7 +17,7 @@
 use super::{Event, Return, Shared, MOST_ORDERS};
 use crate::protocol::call::{self, Call};
 use crate::protocol::resp::{self, Reply};
-use crate::transport::clock::micros;
+use crate::transport::clock::{micros, Alarm};
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::Ending;
 
@@ -69,13 +68,12 @@
 impl Peer {
     async fn run(self: Rc<Self>, mailbox: Receiver<Order>) {
         let mut mailbox = std::pin::pin!(mailbox);
+        let mut alarm = Alarm::new();
         loop {
             let next = self.swept.get() + SWEEP;
+            let any = !self.idle.borrow().is_empty();
             let sweep = async {
-                if self.idle.borrow().is_empty() {
-                    future::pending::<()>().await;
-                }
-                Timer::at(next).await;
+                alarm.ring(any.then_some(next)).await;
                 Some(None)
             };
             match future::or(async { mailbox.next().await.map(Some) }, sweep).await {
--- a/gateway/src/transport/clock.rs
+++ b/gateway/src/transport/clock.rs
@@ -3,7 +3,9 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use async_io::Timer;
 use fernscale::interface::Micros;
+use futures_lite::future;
 
 /// Part of the time gone by that the clock may be set forth or back by: intervals come out right to that part.
 const SLEW: i64 = 64;
@@ -47,6 +49,36 @@
     ahead + (shared - since - ahead).clamp(-most, most)
 }
 
+/// A timer for the earliest of several things, which change more often than they come due. It is not put off, as
+/// each setting costs calls to the system: it may ring early, and whoever waits then looks again.
+pub struct Alarm {
+    timer: Timer,
+    at: Option<Instant>,
+}
+
+impl Alarm {
+    pub fn new() -> Self {
+        Alarm { timer: Timer::never(), at: None }
+    }
+
+    /// Waits until the time given at the latest; for ever where there is none.
+    pub async fn ring(&mut self, by: Option<Instant>) {
+        let Some(by) = by else { return future::pending().await };
+        if self.at.is_none_or(|at| by < at) {
+            self.timer.set_at(by);
+            self.at = Some(by);
+        }
+        (&mut self.timer).await;
+        self.at = None;
+    }
+}
+
+impl Default for Alarm {
+    fn default() -> Self {
+        Alarm::new()
+    }
+}
+
 pub fn micros(time: Duration) -> Micros {
     time.as_micros() as Micros
 }
--- a/gateway/src/transport/connection.rs
+++ b/gateway/src/transport/connection.rs
@@ -1,12 +1,13 @@
 //! One connection: dialled or accepted, read into its buffer, written to.
 
 use std::future::Future;
-use std::io;
+use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, ready, AsyncWriteExt};
 
 use super::buffer::Buffer;
 use super::ending::Ending;
@@ -45,7 +46,19 @@
         if room.is_empty() {
             return Err(Ending::Garbled);
         }
-        match self.stream.read(room).await {
+        // To try a read first would be in vain nearly always, and again with each wake of a task that waits for
+        // several things.
+        let stream = &self.stream;
+        let read = future::poll_fn(|context| loop {
+            if let Err(error) = ready!(stream.poll_readable(context)) {
+                return Poll::Ready(Err(error));
+            }
+            match (&mut stream.get_ref()).read(room) {
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                result => return Poll::Ready(result),
+            }
+        });
+        match read.await {
             Ok(0) => Err(Ending::Closed),
             Ok(count) => {
                 self.buffer.filled_up(count);
@@ -79,7 +92,7 @@
 
     /// Nothing has come that is not in the buffer; false, too, once the other side has closed it.
     pub fn still(&self) -> bool {
-        matches!(self.stream.get_ref().peek(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        matches!(self.stream.get_ref().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Whether it is open with nothing left to read: an idle one may have ended, and a write would be lost.
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -36,8 +36,12 @@
     open: Arc<AtomicUsize>,
 }
 
+/// A free address that no other test can get, also once it is let go.
 fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    static GIVEN: AtomicUsize = AtomicUsize::new(0);
+    let (given, process) = (GIVEN.fetch_add(1, Ordering::SeqCst), std::process::id());
+    let ip = [127, (process % 250) as u8 + 1, (given / 250) as u8, (given % 250) as u8 + 1];
+    let listener = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a port");
     let address = listener.local_addr().expect("an address");
     (listener, address)
 }
@@ -192,16 +196,21 @@
 
 impl Gateway {
     fn unready(discovery: SocketAddr, known: &str, sockets: usize) -> Self {
-        let listen = listen().1;
-        let mut process = process(&config(listen, discovery, known, sockets));
-        let log = process.stderr.take().expect("piped");
-        thread::spawn(move || BufReader::new(log).lines().for_each(drop));
-        let began = Instant::now();
-        while TcpStream::connect(listen).is_err() {
-            assert!(began.elapsed() < SOON, "it does not listen");
-            thread::sleep(Duration::from_millis(5));
+        // A process that another test starts may hold the address for a moment: then with another one.
+        for _ in 0..10 {
+            let listen = listen().1;
+            let process = process(&config(listen, discovery, known, sockets));
+            let mut gateway = Gateway { process, listen };
+            // To try until it listens would in the end connect a socket of this range with itself.
+            let mut log =
+                BufReader::new(gateway.process.stderr.take().expect("piped")).lines().map_while(Result::ok);
+            let started = log.any(|line| line.contains("starts"));
+            thread::spawn(move || log.for_each(drop));
+            if started {
+                return gateway;
+            }
         }
-        Gateway { process, listen }
+        panic!("it does not start");
     }
 
     fn start(servers: &[&Server]) -> Self {
