Waits, units and starts that no clock or count can hold are cut or refused

Found by reading: a client that claims to wait for 1e300 ms would have run the clock over and ended the gateway, in Call's list and Module::asked; a server said to have started then, likewise. A wait is cut to an hour, units beyond a million are refused. The id counts among the bytes that a transaction holds.

--- a/gateway/src/protocol/call.rs
+++ b/gateway/src/protocol/call.rs
@@ -43,6 +43,11 @@
     Full,
 }
 
+/// Longest wait that a client is believed, in milliseconds, and the most units: what is added to a clock or a count
+/// must not run over, whatever a client writes.
+const MOST_WAIT: f64 = 3_600_000.0;
+const MOST_UNITS: f64 = 1e6;
+
 const GET: &[u8] = b"CALL.GET";
 const POST: &[u8] = b"CALL.POST";
 
@@ -89,11 +94,11 @@
             "t" => plan = Some(outside.plans.iter().position(|name| name == value).ok_or_else(wrong)?),
             "d" => {
                 let time = value.parse::<f64>().ok().filter(|time| time.is_finite() && *time >= 0.0);
-                left = Some((time.ok_or_else(wrong)? * 1000.0) as Micros);
+                left = Some((time.ok_or_else(wrong)?.min(MOST_WAIT) * 1000.0) as Micros);
                 place = value_at..value_at + value.len();
             }
             "units" => {
-                let number = value.parse::<f64>().ok().filter(|units| units.is_finite() && *units >= 0.0);
+                let number = value.parse::<f64>().ok().filter(|units| (0.0..=MOST_UNITS).contains(units));
                 units = number.ok_or_else(wrong)?;
             }
             "spread" => spread = value.parse().map_err(|_| wrong())?,
@@ -145,7 +150,8 @@
 
     /// Bytes that it holds.
     pub fn weight(&self) -> usize {
-        self.body.as_ref().map_or(0, |body| body.len()) + self.before.len() + self.after.len()
+        let body = self.body.as_ref().map_or(0, |body| body.len());
+        body + self.before.len() + self.after.len() + self.transaction.id.len()
     }
 }
 
--- a/gateway/src/protocol/catalog.rs
+++ b/gateway/src/protocol/catalog.rs
@@ -15,6 +15,9 @@
     pub servers: Vec<(Listed, SocketAddr)>,
 }
 
+/// Latest time of a start that is believed, in milliseconds: later ones would run over the clock.
+const LATEST: f64 = 1e14;
+
 /// The path of a call: for the whole list, or for what is newer than a version, with the time it may wait.
 pub fn path(newer: Option<(u64, u64)>) -> String {
     match newer {
@@ -53,11 +56,9 @@
             _ => State::Draining,
         },
         rating: entry.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-        started: entry
-            .get("since_ms")
-            .and_then(Value::as_f64)
-            .filter(|at| *at > 0.0)
-            .map(|at| (at * 1e3) as u64),
+        started: (entry.get("since_ms").and_then(Value::as_f64))
+            .filter(|at| *at > 0.0 && *at < LATEST)
+            .map(|at| (at * 1000.0) as u64),
     };
     Ok((listed, address))
 }
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -197,6 +197,9 @@
 #[test]
 fn calls_that_are_asked_wrongly_are_told_so() {
     assert!(matches!(request("c=lookup,t=team,d=480"), Ok(Request::Call(_))));
+    // A wait that no clock can hold is cut, or it would end the gateway.
+    let Ok(Request::Call(call)) = request("c=lookup,t=team,d=1e300") else { panic!("no call") };
+    assert_eq!(call.transaction.left, 3_600_000_000);
     for list in [
         "t=team,d=480",
         "c=lookup,d=480",
@@ -207,6 +210,7 @@
         "c=lookup,t=team,d=-1",
         "c=lookup,t=team,d=NaN",
         "c=lookup,t=team,d=480,units=-1",
+        "c=lookup,t=team,d=480,units=1e300",
         "c=lookup,t=team,d=480,spread=x",
         "c=lookup;t=team",
         "",
