--- a/gateway/src/routing/list.rs
+++ b/gateway/src/routing/list.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use futures_lite::{future, StreamExt};
 use serde_json::Value;
 use slog::{info, warn};
@@ -19,6 +20,10 @@
 const WAIT: Duration = Duration::from_secs(20);
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Pause after an answer with nothing new that did not wait for any: an agent that never waits would be asked
+/// without end. The next call still comes soon enough to go on with the watch.
+const PAUSE: Duration = Duration::from_millis(50);
+
 pub enum Order {
     Follow(bool),
     Fetch,
@@ -47,15 +52,14 @@
     pub async fn run(mut self, mailbox: Receiver<Order>) {
         let mut mailbox = std::pin::pin!(mailbox);
         loop {
-            let following = self.following;
+            let (following, began) = (self.following, Instant::now());
             let call = async {
                 if !following {
                     future::pending::<()>().await;
                 }
                 Step::Told(self.call(self.index).await)
             };
-            // An order that comes in while a call waits would end it, and with it the watch: orders go first
-            // only where nothing is under way.
+            // An order ends the call that is under way, and its connection with it; few ever come.
             let order = async { Step::Order(mailbox.next().await) };
             match future::or(call, order).await {
                 Step::Order(Some(Order::Follow(on))) => self.following = on,
@@ -67,7 +71,11 @@
                 Step::Order(None) => return,
                 Step::Told(told) => {
                     self.following &= told.is_ok();
+                    let idle = told.as_ref().is_ok_and(|members| !members.full && members.servers.is_empty());
                     self.tell(told).await;
+                    if idle && began.elapsed() < WAIT {
+                        Timer::after(PAUSE).await;
+                    }
                 }
             }
         }
--- a/gateway/tests/actors.rs
+++ b/gateway/tests/actors.rs
@@ -12,19 +12,20 @@
 use fernscale::interface::Outcome;
 use fernscale::settings::Outside;
 use fernscale_gateway::routing::counter::{Add, Counter};
+use fernscale_gateway::routing::list::{self, List};
 use fernscale_gateway::routing::outcome::of_call;
 use fernscale_gateway::routing::{Event, Shared};
 use fernscale_gateway::transport::clock::{follow, Clock};
 use fernscale_gateway::transport::limits::Limits;
 
-fn shared() -> Rc<Shared> {
+fn shared(discovery: SocketAddr) -> Rc<Shared> {
     Rc::new(Shared {
         executor: Rc::new(LocalExecutor::new()),
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock: Clock::start(),
         limits: Limits::new(1024),
         outside: Outside { call: 50_000, ..Outside::default() },
-        discovery: SocketAddr::from(([127, 0, 0, 1], 1)),
+        discovery,
         ready: Cell::new(true),
         stopping: Cell::new(false),
     })
@@ -48,7 +49,7 @@
 
 /// What each of the calls came to, in the order in which that was told.
 fn outcomes(address: SocketAddr, calls: &[&str]) -> Vec<(String, Outcome, f64)> {
-    let shared = shared();
+    let shared = shared(address);
     let (events, told): (Sender<Event>, Receiver<Event>) = async_channel::bounded(16);
     let (orders, mailbox) = async_channel::bounded(16);
     shared.executor.spawn(Counter::new(&shared, &events, address).run(mailbox)).detach();
@@ -108,3 +109,37 @@
         assert_eq!(ahead, 1_000_000_000 + set);
     }
 }
+
+#[test]
+fn an_agent_that_never_waits_is_not_asked_without_end_and_the_watch_goes_on() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a gateway");
+        let mut part = [0; 1024];
+        while stream.read(&mut part).is_ok_and(|count| count > 0) {
+            let full = !String::from_utf8_lossy(&part).contains("since=3");
+            let body = format!(r#"{{"index":3,"snapshot":{full},"endpoints":[]}}"#);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all((head + &body).as_bytes()).expect("written");
+        }
+    });
+    let shared = shared(address);
+    let (events, told) = async_channel::bounded(16);
+    let (orders, mailbox) = async_channel::bounded(16);
+    shared.executor.spawn(List::new(&shared, &events).run(mailbox)).detach();
+    let three = async {
+        orders.send(list::Order::Follow(true)).await.expect("the actor runs");
+        let (mut full, mut gaps) = (Vec::new(), Vec::new());
+        for _ in 0..3 {
+            let began = Instant::now();
+            let Ok(Event::List(members)) = told.recv().await else { panic!("no list") };
+            full.push(members.full);
+            gaps.push(began.elapsed());
+        }
+        (full, gaps)
+    };
+    let (full, gaps) = async_io::block_on(shared.executor.run(three));
+    assert_eq!(full, [true, false, false]);
+    assert!(gaps[2] >= Duration::from_millis(50), "{gaps:?}");
+}
