A gateway at its end no longer turns without end round a client that is just writing

Found by a test written for it: at SIGTERM a client whose bytes arrive between two looks was neither read, as the reactor had not run, nor let go, and the loop never gave way; the gateway did not end. At fault: Client::serve, since reads wait for readiness. What has come is now waited for and read first.

--- a/gateway/src/routing/client.rs
+++ b/gateway/src/routing/client.rs
@@ -174,7 +174,13 @@
                     return Ending::Stopping;
                 }
             }
-            match self.step().await {
+            let step = match self.step().await {
+                Step::Leave(how) if self.connection.still() => return how,
+                // Something has come, and goes first. To look again at once would never let it in.
+                Step::Leave(_) => Step::Read(self.connection.read().await),
+                step => step,
+            };
+            match step {
                 Step::Answer(number, answer, places) => {
                     if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.number == number) {
                         waiting.open = None;
@@ -184,8 +190,7 @@
                 Step::Read(Ok(())) => {}
                 Step::Read(Err(Ending::Garbled)) => self.misread("the command is too long"),
                 Step::Read(Err(how)) => return how,
-                Step::Leave(how) if self.connection.still() => return how,
-                Step::Leave(_) => {}
+                Step::Leave(how) => return how,
             }
         }
     }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -482,6 +482,29 @@
     assert_eq!(gateway.code(Duration::from_secs(3)), Some(0));
 }
 
+#[test]
+fn a_planned_end_comes_in_time_while_clients_keep_asking() {
+    for _ in 0..4 {
+        let server = Server::start(Does::Serve);
+        let mut gateway = Gateway::start(&[&server]);
+        let asks = |mut client: Client| {
+            // Byte by byte, so that something is nearly always on its way when the signal comes.
+            thread::spawn(move || {
+                let bytes = ping();
+                let mut at = 0;
+                while client.stream.write_all(&bytes[at..at + 1]).is_ok() {
+                    at = (at + 1) % bytes.len();
+                }
+            })
+        };
+        let all: Vec<_> = (0..12).map(|_| asks(gateway.client())).collect();
+        thread::sleep(Duration::from_millis(50));
+        gateway.signal();
+        assert_eq!(gateway.code(Duration::from_secs(4)), Some(0));
+        all.into_iter().for_each(|ask| ask.join().expect("it ends"));
+    }
+}
+
 #[test]
 fn clients_beyond_the_limit_take_the_place_of_idle_ones_or_are_told_to_come_again() {
     let servers: Vec<Server> = (0..6).map(|_| Server::start(Does::Late(200))).collect();
