Trips out follow their count to its next name, and few words are not averaged with nothing

At fault: post_out began each five-second name with nothing and told what was out with the customer's next transaction here, which at a hundred gateways comes 17 s later, so that each name began with room for as many again; and out_usual grew by a tenth of the first word, so that others who have three out were taken for none.

Now an alarm at the change of name tells what is still out; names of customers change at different times, by a hash of the id, or all calls would come at once; the mean of few words is their mean.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -38,6 +38,8 @@
 /// trips out, which soon come back: what a call that was lost on its way left there, no later one takes off.
 const SPAN: Micros = 60 * SECOND;
 const OUT_SPAN: Micros = 5 * SECOND;
+/// Factor that spreads ids over a span: the prime of the hash FNV-1a, which every gateway works out alike.
+const MIX: u64 = 0x100_0000_01b3;
 /// Fades in a name: by its end a unit weighs so much more, and counters take and tell 1e9 at the most.
 const FADES: f64 = 16.0;
 /// Time in which what was offered fades, in fills of the store, and the least, µs: longer, a spike hides in a
@@ -236,6 +238,9 @@
             return self.host.follow_list(true);
         }
         let now = self.host.now();
+        if let Some(customer) = token.strip_prefix("out:") {
+            return self.post_out(&Id::from(customer), now);
+        }
         self.awake = if now >= self.awake { Micros::MAX } else { self.awake };
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
@@ -331,7 +336,10 @@
                 // A total below what is out from here was lost; the next call adds it again.
                 customer.out_added = customer.out_added.min(total.max(0.0));
                 customer.out_others = total - customer.out_added;
-                customer.out_usual += NEWEST * (customer.out_others - customer.out_usual);
+                customer.out_heard += 1.0;
+                // The mean of few words is these, not what it began with.
+                let weight = NEWEST.max(1.0 / customer.out_heard);
+                customer.out_usual += weight * (customer.out_others - customer.out_usual);
                 self.post_out(&id, now);
             } else if !matches!(outcome, Outcome::TimedOut | Outcome::Error) {
                 // A counter that turns calls away must not be asked again at once, or without end.
@@ -515,13 +523,22 @@
         if !capped || !self.settings.counter || customer.out_adding.is_some() || customer.spread <= 1.0 {
             return;
         }
-        let span = now / OUT_SPAN;
-        if customer.out_span != span {
+        // Names of all customers that change at one time would bring all calls at one time.
+        let mix = |sum: u64, byte| (sum ^ u64::from(byte)).wrapping_mul(MIX);
+        let phase = id.bytes().fold(MIX, mix) % OUT_SPAN;
+        let (span, left) = ((now + phase) / OUT_SPAN, OUT_SPAN - (now + phase) % OUT_SPAN);
+        let moves = customer.out_span != span;
+        if moves {
             (customer.out_span, customer.out_added) = (span, 0.0);
         }
         let amount = f64::from(customer.out) - customer.out_added;
-        // What came back is always told, or the count would keep it for out.
-        if amount < 0.0 || amount > 0.0 && (share >= 1.0 || self.chance.gen::<f64>() < share) {
+        // What came back is always told, or the count would keep it for out; and what is still out, to the next
+        // name as soon as that begins, or there would be room for as many again.
+        let told = amount < 0.0 || moves || share >= 1.0;
+        if amount != 0.0 && (told || self.chance.gen::<f64>() < share) {
+            if amount > 0.0 {
+                self.host.set_alarm(left, &format!("out:{id}"));
+            }
             customer.out_added += amount;
             customer.out_adding = Some(amount);
             self.calls.saved -= 1.0;
--- a/crates/fernscale/src/state.rs
+++ b/crates/fernscale/src/state.rs
@@ -70,6 +70,7 @@
     pub out_span: u64,
     pub out_others: f64,
     pub out_usual: f64,
+    pub out_heard: f64,
     pub out_told: Option<Micros>,
     /// What is left of this gateway's part of the ceiling, and units taken from it that still wait here.
     pub ceiling: f64,
--- a/crates/fernscale/tests/common/mod.rs
+++ b/crates/fernscale/tests/common/mod.rs
@@ -24,6 +24,8 @@
 pub struct Desk {
     pub now: Micros,
     pub did: Vec<Did>,
+    /// Alarms that have not rung yet, but for the look that a bed has every ten milliseconds.
+    pub alarms: Vec<(Micros, String)>,
 }
 
 #[derive(Clone, Default)]
@@ -53,6 +55,10 @@
     }
     fn set_alarm(&mut self, delay: Micros, token: &str) {
         self.note(Did::Alarm(delay, token.into()));
+        if token != "look" {
+            let at = self.now() + delay;
+            self.0.borrow_mut().alarms.push((at, token.into()));
+        }
     }
     fn probe(&mut self, _server: &Id) {}
     fn close_idle(&mut self, _server: &Id) {}
@@ -136,6 +142,15 @@
         while self.now() < end {
             let next = end.min(self.now() + 10 * MS);
             self.notes.0.borrow_mut().now = next;
+            let mut alarms = std::mem::take(&mut self.notes.0.borrow_mut().alarms);
+            alarms.retain(|(at, token)| {
+                let due = *at <= next;
+                if due {
+                    self.gateway.alarm(token);
+                }
+                !due
+            });
+            self.notes.0.borrow_mut().alarms.extend(alarms);
             self.gateway.alarm("look");
         }
     }
--- a/crates/fernscale/tests/failures.rs
+++ b/crates/fernscale/tests/failures.rs
@@ -466,3 +466,63 @@
     let without: Vec<usize> = (0..20).map(|_| second(&mut bed, false)).collect();
     assert!(without.iter().all(|sent| *sent >= 6), "{without:?} in each second without a counter");
 }
+
+/// Plan with so many trips out at once, and no other quota.
+fn capped(most_out: u32) -> Plan {
+    Plan { rate: 0.0, burst: 0.0, most_out, ..wide() }
+}
+
+#[test]
+fn trips_still_out_are_told_to_the_next_name_as_soon_as_it_begins() {
+    let mut bed = Bed::new(settings(Kind::Redoable, capped(4)), 4);
+    bed.ask("c", 20_000 * MS);
+    let first = adds(&bed.did()).pop().expect("a call with the transaction");
+    bed.gateway.counted(&first.0, Outcome::Ok, 1.0, MS);
+    assert_eq!(sends(&bed.did()).len(), 1);
+    // Nothing comes or goes for two names: the one trip must stand in each all the same.
+    for _ in 0..2 {
+        let mut told = Vec::new();
+        for _ in 0..500 {
+            bed.pass(10 * MS);
+            let added = adds(&bed.did());
+            added.iter().for_each(|(name, total)| bed.gateway.counted(name, Outcome::Ok, *total, MS));
+            told.extend(added);
+        }
+        assert_eq!(told.len(), 1, "{told:?}");
+        assert!(told[0].0 != first.0 && told[0].1 == 1.0, "{told:?}");
+    }
+}
+
+#[test]
+fn names_of_trips_out_do_not_all_change_at_one_time() {
+    let mut bed = Bed::new(settings(Kind::Redoable, capped(4)), 40);
+    for at in 0..50 {
+        bed.ask(&format!("c{at}"), 60_000 * MS);
+    }
+    let mut told = [0; 500];
+    for slice in &mut told {
+        for (name, total) in adds(&bed.did()) {
+            bed.gateway.counted(&name, Outcome::Ok, total, MS);
+            *slice += 1;
+        }
+        bed.pass(10 * MS);
+    }
+    let most = told[1..].iter().max().expect("slices");
+    assert!(*most <= 5, "{most} of 50 customers told in ten milliseconds");
+}
+
+#[test]
+fn one_word_of_what_others_have_out_is_not_taken_for_a_tenth_of_it() {
+    let mut bed = Bed::new(settings(Kind::Redoable, capped(4)), 4);
+    let asked = bed.ask("c", 2_000 * MS);
+    let name = adds(&bed.did()).pop().expect("a call").0;
+    bed.gateway.counted(&name, Outcome::Ok, 5.0, MS);
+    assert_eq!(nacked(&bed.did()), [asked]);
+    bed.gateway.counted(&name, Outcome::Ok, 4.0, MS);
+    // Later the counter turns the call away: all that is known is that others had four out.
+    bed.pass(3_000 * MS);
+    let asked = bed.ask("c", 2_000 * MS);
+    let name = adds(&bed.did()).pop().expect("a call").0;
+    bed.gateway.counted(&name, Outcome::Full, 0.0, MS);
+    assert_eq!(nacked(&bed.did()), [asked]);
+}
