--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -591,7 +591,8 @@
         }
         let amount = f64::from(customer.out) - customer.out_added;
         // What came back is always told, or the count would keep it for out; and what is still out, to the next
-        // name as soon as that begins, or there would be room for as many again.
+        // name as soon as that begins, or there would be room for as many again. So is the first that comes here
+        // in a name: all that is known of the others is from another.
         let told = amount < 0.0 || moves || share >= 1.0;
         if amount != 0.0 && (told || self.chance.gen::<f64>() < share) {
             if amount > 0.0 {
