The list that can't be had is asked for after pauses that grow and are spread

Ruled out: servers short of connections (refused after 0.5 ms, 860 connections at once over 60 servers; 29 to 42 servers refuse all), the gateway's own sockets. At fault: list_failed, a second later each time, at all gateways together.

Now the pause doubles from two seconds to sixteen, at most the time within which the list must be asked for, and is drawn between its half and whole.

The test, of a hundred modules on virtual time, counts a hundred calls a second without it.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -95,6 +95,11 @@
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
 
+/// Times that the pause before the list is asked for anew doubles, and its most, µs, where nothing is said of that: a
+/// crowd that all comes back each second has a discovery with room for a part of it answer nobody.
+const MOST_DOUBLED: u32 = 4;
+const ASKED: Micros = 10 * SECOND;
+
 pub struct Gateway<H: Host> {
     host: H,
     settings: Settings,
@@ -120,6 +125,8 @@
     awake: Micros,
     calls: Calls,
     further: f64,
+    /// Times in a row that the list could not be had.
+    misses: u32,
     /// Share of each plan's transactions that were found inside the quota.
     inside: Vec<f64>,
     /// Share of decisions with word on customers of whom a gateway sees little.
@@ -154,6 +161,7 @@
             awake: born + SECOND,
             calls: Calls { rate, saved, at: born, cut: born, good: born, heard: 0, quickest: Micros::MAX },
             further: FURTHER_SAVED,
+            misses: 0,
             worded: 0.5,
             inside: vec![1.0; settings.plans.len()],
             host,
@@ -280,6 +288,7 @@
     /// The whole list of servers, or changes to it.
     pub fn list(&mut self, full: bool, entries: &[Listed]) {
         let now = self.host.now();
+        self.misses = 0;
         self.servers.values_mut().for_each(|server| server.ready &= !full);
         for entry in entries {
             let server = self.servers.entry(entry.server.clone()).or_default();
@@ -312,7 +321,9 @@
 
     /// The list could not be had, or follows no longer.
     pub fn list_failed(&mut self) {
-        self.host.set_alarm(SECOND, "follow");
+        self.misses = (self.misses + 1).min(MOST_DOUBLED);
+        let most = self.settings.list_on_request.unwrap_or(ASKED).min(SECOND << self.misses);
+        self.host.set_alarm((most as f64 * self.chance.gen_range(0.5..1.0)) as Micros, "follow");
     }
 
     pub fn probed(&mut self, _server: &Id, _outcome: Outcome, _load: Load) {}
--- a/crates/fernscale/tests/failures.rs
+++ b/crates/fernscale/tests/failures.rs
@@ -581,3 +581,28 @@
     bed.gateway.counted(&name, Outcome::Full, 0.0, MS);
     assert_eq!(nacked(&bed.did()), [id("b")]);
 }
+
+#[test]
+fn a_crowd_that_can_not_have_the_list_does_not_come_back_each_second_nor_all_at_once() {
+    let mut asked: Vec<Micros> = Vec::new();
+    for me in 0..100 {
+        let told = settings(Kind::Redoable, wide());
+        let told = Settings { me, seed: u64::from(me), list_on_request: Some(20_000 * MS), ..told };
+        let mut bed = Bed::new(told, 4);
+        let began = bed.now();
+        bed.gateway.list_failed();
+        while bed.now() < began + 60_000 * MS {
+            bed.pass(10 * MS);
+            if bed.did().contains(&Did::Follow(true)) {
+                asked.push(bed.now() - began);
+                bed.gateway.list_failed();
+            }
+        }
+    }
+    let (early, late) = (|at: &&Micros| **at < 10_000 * MS, |at: &&Micros| **at >= 30_000 * MS);
+    let (first, last) = (asked.iter().filter(early).count(), asked.iter().filter(late).count());
+    assert!((200..=400).contains(&first), "{first} calls in the first ten seconds");
+    assert!((180..=360).contains(&last), "{last} calls in the last thirty");
+    let most = (0..120).map(|at| asked.iter().filter(|asked| **asked / (500 * MS) == at).count()).max();
+    assert!(most <= Some(60), "{most:?} calls in half a second");
+}
