The first call to discovery asks for what is newer than the known list, and waits its turn

Those that ask for what is newer than a version are served: before the kill all watches are up by twelve seconds.

At fault: List begins without the version that the configuration knows, and GRACE, a second, for the whole list too.

Now the first call names that version and does not wait; an answer is waited for five seconds; who starts is ready after one second without, as before. An answer with an older version is another list's, which is then had whole.

--- a/crates/cli/tests/sockets.rs
+++ b/crates/cli/tests/sockets.rs
@@ -136,7 +136,7 @@
     }
 }
 
-/// Answers the first call with the whole list, and lets watches wait; `known` false: it is silent.
+/// Answers a call that does not wait with the whole list, and lets watches wait; `known` false: it is silent.
 fn discovery(list: String, answers: bool) -> SocketAddr {
     let (listener, address) = listen();
     thread::spawn(move || {
@@ -146,7 +146,7 @@
                 let mut lines = BufReader::new(&stream).lines().map_while(Result::ok);
                 while let Some(first) = lines.next() {
                     lines.by_ref().take_while(|line| !line.is_empty()).for_each(drop);
-                    if answers && !first.contains("since=") {
+                    if answers && (!first.contains("since=") || first.contains("timeout_ms=0")) {
                         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
                         (&stream).write_all((head + &list).as_bytes()).expect("written");
                     }
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -81,7 +81,8 @@
     let (events, mailbox) = async_channel::bounded(MOST_EVENTS);
     let counter = config.counter.map(|address| Counter::start(&shared, &events, address));
     let (list, orders) = async_channel::bounded(MOST_ORDERS);
-    executor.spawn(List::new(&shared, &events, config.discovery).run(orders)).detach();
+    let index = config.known.as_ref().filter(|known| !known.servers.is_empty()).map(|known| known.index);
+    executor.spawn(List::new(&shared, &events, config.discovery, index).run(orders)).detach();
     if config.settings.list_on_request.is_none() {
         let _ = list.try_send(list::Order::Follow(true));
     }
--- a/crates/gateway/src/routing/list.rs
+++ b/crates/gateway/src/routing/list.rs
@@ -22,6 +22,10 @@
 const WAIT: Duration = Duration::from_secs(20);
 const GRACE: Duration = Duration::from_secs(1);
 
+/// How long the whole list is waited for: where all gateways ask for it at once, calls wait in turn, and one given up
+/// early is served for nobody and asked again. A gateway that knows servers from before does not wait for it.
+const TURN: Duration = Duration::from_secs(5);
+
 /// Pause after an answer with nothing new that did not wait for any: an agent that never waits would be asked
 /// without end. The next call still comes soon enough to go on with the watch.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -41,21 +45,36 @@
     following: bool,
     /// The version that the next call starts from.
     index: Option<u64>,
+    /// No answer has come yet.
+    first: bool,
 }
 
 impl List {
-    pub fn new(shared: &Rc<Shared>, events: &Sender<Event>, discovery: SocketAddr) -> Self {
+    /// With the version of the list that was known before the start, if there was one.
+    pub fn new(
+        shared: &Rc<Shared>,
+        events: &Sender<Event>,
+        discovery: SocketAddr,
+        index: Option<u64>,
+    ) -> Self {
         List {
             shared: shared.clone(),
             events: events.clone(),
             discovery,
             connection: None,
             following: false,
-            index: None,
+            index,
+            first: true,
         }
     }
 
     pub async fn run(mut self, mailbox: Receiver<Order>) {
+        let events = self.events.clone();
+        let late = async move {
+            Timer::after(GRACE).await;
+            drop(events.send(Event::ListLate).await);
+        };
+        self.shared.executor.spawn(late).detach();
         let mut mailbox = std::pin::pin!(mailbox);
         loop {
             let (following, began) = (self.following, Instant::now());
@@ -94,7 +113,9 @@
     async fn tell(&mut self, told: Result<Members, String>) {
         let event = match told {
             Ok(members) => {
-                self.index = Some(members.index);
+                // A version older than the one asked from is another list's: only the whole of that one will do.
+                let another = !members.full && self.index.is_some_and(|index| members.index < index);
+                (self.index, self.first) = (Some(members.index).filter(|_| !another), false);
                 Event::List(members)
             }
             Err(why) => {
@@ -106,10 +127,11 @@
     }
 
     async fn call(&mut self, since: Option<u64>) -> Result<Members, String> {
-        let wait = if since.is_some() { WAIT } else { Duration::ZERO };
+        // The first is asked for what is new, and answered at once: a list from before the start may be old.
+        let wait = if since.is_some() && !self.first { WAIT } else { Duration::ZERO };
         let path = catalog::path(since.map(|since| (since, wait.as_millis() as u64)));
         let request = http::get(&self.discovery.to_string(), &path);
-        let until = Instant::now() + wait + GRACE;
+        let until = Instant::now() + if wait.is_zero() { TURN } else { wait + GRACE };
         let reused = self.connection.is_some();
         let mut response = self.exchange(&request, until).await;
         if reused && response.is_err() && Instant::now() < until {
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -73,6 +73,8 @@
     Counter(Option<Sender<counter::Add>>),
     List(Members),
     ListFailed,
+    /// Discovery has not answered for a while after the start.
+    ListLate,
 }
 
 pub struct Asked {
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -222,6 +222,7 @@
                 self.learn(&members);
                 self.look_ready();
             }
+            Event::ListLate => self.look_ready(),
             Event::ListFailed => {
                 self.look_ready();
                 self.gateway.list_failed();
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -153,6 +153,65 @@
     }
 }
 
+/// What a list's actor asks, that knew a version before its start, and what it tells, of an agent that takes so long
+/// for each of these answers.
+fn first_calls(known: Option<u64>, answers: Vec<(u64, &'static str)>) -> (Vec<String>, Vec<Option<u64>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (paths, asked) = std::sync::mpsc::channel();
+    let count = answers.len();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a gateway");
+        let mut part = [0; 1024];
+        for (late, body) in answers {
+            let length = stream.read(&mut part).expect("a call");
+            let path =
+                String::from_utf8_lossy(&part[..length]).split(' ').nth(1).expect("a path").to_string();
+            paths.send(path).expect("sent");
+            thread::sleep(Duration::from_millis(late));
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all((head + body).as_bytes()).expect("written");
+        }
+    });
+    let shared = shared();
+    let (events, told) = async_channel::bounded(16);
+    let (orders, mailbox) = async_channel::bounded(16);
+    shared.executor.spawn(List::new(&shared, &events, address, known).run(mailbox)).detach();
+    let all = async {
+        orders.send(list::Order::Follow(true)).await.expect("the actor runs");
+        let mut all = Vec::new();
+        while all.iter().flatten().count() < count {
+            match told.recv().await.expect("the actor runs") {
+                Event::List(members) => all.push(Some(members.index)),
+                Event::ListLate => all.push(None),
+                _ => panic!("no list"),
+            }
+        }
+        all
+    };
+    let all = async_io::block_on(shared.executor.run(all));
+    (asked.iter().take(count).collect(), all)
+}
+
+#[test]
+fn who_knew_a_list_asks_for_what_is_newer_and_a_list_of_another_is_had_whole() {
+    const NEWER: &str = r#"{"index":43,"snapshot":false,"endpoints":[]}"#;
+    let (asked, _) = first_calls(Some(41), vec![(0, NEWER), (0, NEWER)]);
+    let watch = |index: u32, wait: u32| format!("/catalog/members?since={index}&timeout_ms={wait}");
+    assert_eq!(asked, [watch(41, 0), watch(43, 20_000)]);
+    const OTHER: &str = r#"{"index":3,"snapshot":false,"endpoints":[]}"#;
+    const WHOLE: &str = r#"{"index":3,"snapshot":true,"endpoints":[]}"#;
+    let (asked, _) = first_calls(Some(41), vec![(0, OTHER), (0, WHOLE), (0, OTHER)]);
+    assert_eq!(asked, [watch(41, 0), "/catalog/members".into(), watch(3, 20_000)]);
+}
+
+#[test]
+fn a_list_whose_turn_comes_late_is_waited_for_and_others_are_not_kept_waiting() {
+    const WHOLE: &str = r#"{"index":3,"snapshot":true,"endpoints":[]}"#;
+    let (_, told) = first_calls(None, vec![(1_500, WHOLE)]);
+    assert_eq!(told, [None, Some(3)], "late after a second, and had all the same");
+}
+
 #[test]
 fn an_agent_that_never_waits_is_not_asked_without_end_and_the_watch_goes_on() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -170,7 +229,7 @@
     let shared = shared();
     let (events, told) = async_channel::bounded(16);
     let (orders, mailbox) = async_channel::bounded(16);
-    shared.executor.spawn(List::new(&shared, &events, address).run(mailbox)).detach();
+    shared.executor.spawn(List::new(&shared, &events, address, None).run(mailbox)).detach();
     let three = async {
         orders.send(list::Order::Follow(true)).await.expect("the actor runs");
         let (mut full, mut gaps) = (Vec::new(), Vec::new());
