Gateways take servers in a row by hash, so that a changed list moves few of them

Ruled out: connections that grow old (6 of 1,502 closed as idle), refused ones (239, since the list is had). At fault: list, which deals by place % step.

Now servers stand in a row by a hash of their ids, and each gateway takes eight or more from its own place on; every server has as many gateways, to three at the most in the test.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -38,7 +38,7 @@
 /// trips out, which soon come back: what a call that was lost on its way left there, no later one takes off.
 const SPAN: Micros = 60 * SECOND;
 const OUT_SPAN: Micros = 5 * SECOND;
-/// Factor that spreads ids over a span: the prime of the hash FNV-1a, which every gateway works out alike.
+/// Factor that mixes the bytes of an id: the prime of the hash FNV-1a.
 const MIX: u64 = 0x100_0000_01b3;
 /// Fades in a name: by its end a unit weighs so much more, and counters take and tell 1e9 at the most.
 const FADES: f64 = 16.0;
@@ -110,8 +110,8 @@
     open: HashMap<Id, Open>,
     dues: BTreeSet<(Micros, Id)>,
     waiting: BTreeSet<(i64, Micros, Id)>,
-    /// This gateway uses every so many-th server.
-    step: usize,
+    /// Gateways that use a server.
+    shared: f64,
     /// Answer time of each lane, µs: the mean of late, and what an idle fleet takes.
     usual: Vec<f64>,
     idle: Vec<f64>,
@@ -150,7 +150,7 @@
             open: HashMap::new(),
             dues: BTreeSet::new(),
             waiting: BTreeSet::new(),
-            step: 1,
+            shared: 1.0,
             usual: settings.lanes.iter().map(|lane| USUAL * lane.agreed as f64).collect(),
             idle: vec![f64::INFINITY; settings.lanes.len()],
             carried: 0.0,
@@ -301,17 +301,19 @@
             server.ready = entry.state == State::Ready;
         }
         self.servers.retain(|_, server| server.ready || server.out > 0);
-        // Too many gateways for the servers: each takes every n-th of the sorted list, from its own start.
-        let ready = self.servers.values().filter(|server| server.ready).count();
-        self.step = (self.settings.gateways as usize / SHARED_BY).min(ready / FEWEST).max(1);
+        // Too many gateways for the servers: each takes some, in a row from its own place on. All servers have as many
+        // gateways, and a change of the list moves few of them, or all would have to be met and learnt anew.
+        let ready = self.servers.iter().filter(|(_, server)| server.ready);
+        let mut row: Vec<(u64, Id)> = ready.map(|(id, _)| (phase(id, Micros::MAX), id.clone())).collect();
+        row.sort();
+        let (all, gateways) = (row.len().max(1), self.settings.gateways.max(1) as usize);
+        let part = (all / (gateways / SHARED_BY).max(1)).max(FEWEST).min(all);
+        let first = self.settings.me as usize % gateways * all / gateways;
+        self.shared = (gateways * part) as f64 / all as f64;
         let cap = FIRST_CAPS / self.gateways_a_server();
-        let ready = self.servers.values_mut().filter(|server| server.ready);
-        // What has been dealt stays so, or each change of the list would move every gateway to other servers.
-        for (place, server) in ready.enumerate() {
-            if server.step != self.step {
-                let mine = place % self.step == self.settings.me as usize % self.step;
-                (server.step, server.mine) = (self.step, mine);
-            }
+        for (place, (_, id)) in row.iter().enumerate() {
+            let Some(server) = self.servers.get_mut(id) else { continue };
+            server.mine = (place + all - first) % all < part;
             if server.cap == 0.0 {
                 let cold = server.started.is_some_and(|at| now < at + self.settings.warm_up);
                 server.cap = if cold { 0.5 * cap } else { cap };
@@ -617,7 +619,7 @@
     }
 
     fn gateways_a_server(&self) -> f64 {
-        (f64::from(self.settings.gateways) / self.step as f64).max(1.0)
+        self.shared.max(1.0)
     }
 
     /// The share of its capacity that a server surely has, by the time since its start.
@@ -885,9 +887,11 @@
     }
 }
 
-/// When a customer's names change, as a part of the time that they last: as all gateways work it out.
+/// A place below `span` for an id, spread evenly, that every gateway works out alike: when a customer's names change,
+/// or where a server stands in the row.
 fn phase(id: &Id, span: Micros) -> Micros {
-    id.bytes().fold(MIX, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(MIX)) % span
+    let mixed = id.bytes().fold(MIX, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(MIX));
+    ChaCha8Rng::seed_from_u64(mixed).gen_range(0..span)
 }
 
 impl Plan {
--- a/crates/fernscale/src/state.rs
+++ b/crates/fernscale/src/state.rs
@@ -9,7 +9,6 @@
     /// Takes new trips, and is among those that this gateway uses.
     pub ready: bool,
     pub mine: bool,
-    pub step: usize,
     pub rating: f64,
     pub started: Option<Micros>,
     pub out: u32,
--- a/crates/fernscale/tests/failures.rs
+++ b/crates/fernscale/tests/failures.rs
@@ -606,3 +606,52 @@
     let most = (0..120).map(|at| asked.iter().filter(|asked| **asked / (500 * MS) == at).count()).max();
     assert!(most <= Some(60), "{most:?} calls in half a second");
 }
+
+/// The servers that a gateway sends to, each being asked for more than they have places for.
+fn used(bed: &mut Bed) -> std::collections::BTreeSet<Id> {
+    (0..100).for_each(|_| drop(bed.ask("c", 300 * MS)));
+    let sent: Vec<_> = sends(&bed.did());
+    sent.iter().for_each(|(id, server)| bed.end(id, 0, server, Outcome::Ok, 100 * MS));
+    let mut all: std::collections::BTreeSet<Id> = sent.into_iter().map(|(_, server)| server).collect();
+    for _ in 0..40 {
+        bed.pass(100 * MS);
+        bed.ask("c", 300 * MS);
+        for (id, server) in sends(&bed.did()) {
+            bed.end(&id, 0, &server, Outcome::Ok, 100 * MS);
+            all.insert(server);
+        }
+    }
+    all
+}
+
+#[test]
+fn a_list_that_changes_moves_few_servers_of_a_hundred_gateways_and_shares_them_evenly() {
+    let told = |me| Settings { me, gateways: 100, seed: u64::from(me), ..settings(Kind::Redoable, wide()) };
+    let mut beds: Vec<Bed> = (0..100).map(|me| Bed::new(told(me), 60)).collect();
+    let mut before: Vec<_> = beds.iter_mut().map(used).collect();
+    // A release: nine at a time drain, successors come at another time, and in the middle ten are missing.
+    let drains = |from: usize| (from..from + 9).map(|at| listed(&format!("s{at}"), 0, State::Draining, None));
+    let comes = |from: usize| (from..from + 9).map(|at| listed(&format!("n{at}"), 0, State::Ready, None));
+    let changes: [Vec<Listed>; 4] =
+        [drains(0).collect(), drains(9).collect(), comes(0).collect(), comes(9).chain(drains(18)).collect()];
+    let (mut moved, mut kept) = (0, 0);
+    for (at, change) in changes.iter().enumerate() {
+        let gone = |server: &Id| {
+            changes[..=at].iter().flatten().any(|one| one.server == *server && one.state == State::Draining)
+        };
+        beds.iter_mut().for_each(|bed| bed.gateway.list(false, change));
+        let after: Vec<_> = beds.iter_mut().map(used).collect();
+        let mut gateways: HashMap<Id, usize> = HashMap::new();
+        for (before, after) in before.iter().zip(&after) {
+            assert!((8..=9).contains(&after.len()), "{} servers", after.len());
+            assert!(!after.iter().any(gone));
+            kept += before.iter().filter(|server| after.contains(*server)).count();
+            moved += before.iter().filter(|server| !after.contains(*server) && !gone(server)).count();
+            after.iter().for_each(|server| *gateways.entry(server.clone()).or_default() += 1);
+        }
+        let (most, least) = (gateways.values().max().copied(), gateways.values().min().copied());
+        assert!(most <= least.map(|least| least + 3), "{least:?} to {most:?} gateways use a server");
+        before = after;
+    }
+    assert!(moved * 4 < kept, "{moved} servers given up that were not gone, {kept} kept");
+}
