Operators have an address of their own, figures and cordons; a passed socket is taken

Change: `operator` or BALANCER_OPERATOR: health, stats, cordon, uncordon, with descriptors of their own; the one that stalls longest makes room. Figures are counted where an answer or a trip's command has been written. The module owns cordons; a trip that has not begun to be written when one comes ends as never sent. BALANCER_PASSED_SOCKET: the listener is taken from there, and accepted on once a server is known.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -1,6 +1,6 @@
 //! Every decision of one gateway. The caller makes a [`Gateway`] with its settings and a [`Host`], then calls
-//! the method named after what happened: `transaction`, `returned`, `dropped`, `counted`, `list`, `alarm` and so
-//! on. The module answers by calling the host, in order, before the method returns. Types are in `interface.rs`.
+//! the method named after what happened: `transaction`, `returned`, `counted`, `list`, `alarm`, `cordon` ...
+//! The module answers by calling the host, in order, before the method returns. Types: `interface.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
-use crate::state::{Calls, Customer, Open, Server, Trip};
+use crate::state::{phase, Calls, Customer, Open, Server, Trip};
 
 const SECOND: Micros = 1_000_000;
 /// Pause while something waits for a server, µs: short beside any agreed time.
@@ -20,8 +20,7 @@
 /// Calls a second, of all gateways together, at first and at the least: few counters take less.
 const FIRST_CALLS: f64 = 400.0;
 const LEAST_CALLS: f64 = 250.0;
-/// Growth of that rate in a second, a share; what no answer or a late one leaves of it, as too many calls
-/// make a counter work for nobody; and how late that is, in times of the quickest.
+/// Growth of that rate in a second, what no answer or a late one leaves, and how late, in times of the quickest.
 const MORE_CALLS: f64 = 0.4;
 const BACK_OFF: f64 = 0.7;
 const SLOWED: f64 = 0.9;
@@ -34,22 +33,17 @@
 const STALE: Micros = 2 * SECOND;
 /// Units that a belief weighs beside as many seen: few transactions must not overturn a fraction.
 const BELIEF: f64 = 6.0;
-/// Time of one name of a count, µs: the counter's longest, as a new name knows nothing of the past; and of one for
-/// trips out, which soon come back: what a call that was lost on its way left there, no later one takes off.
+/// Time of one name of a count, µs: the counter's longest; less for trips out, as a lost call stays in a name.
 const SPAN: Micros = 60 * SECOND;
 const OUT_SPAN: Micros = 5 * SECOND;
-/// Factor that mixes the bytes of an id: the prime of the hash FNV-1a.
-const MIX: u64 = 0x100_0000_01b3;
 /// Fades in a name: by its end a unit weighs so much more, and counters take and tell 1e9 at the most.
 const FADES: f64 = 16.0;
-/// Time in which what was offered fades, in fills of the store, and the least, µs: longer, a spike hides in a
-/// calm minute; shorter, a count holds too few transactions to tell a fraction.
+/// Time in which what was offered fades, in fills of the store, and the least, µs: longer, a spike would hide.
 const FADE: f64 = 0.25;
 const LEAST_FADE: f64 = 1e6;
-/// Where the even part of a burst holds no unit: the part of the burst that passes within one period. With a half,
-/// two periods that meet use up one store; with all of it, two stores could pass at once.
+/// Part of a burst that passes in a period where its even part holds no unit: two periods make one store.
 const THIN: f64 = 0.5;
-/// Share of those decisions that have word, from which what has none is nacked: it comes again and may have one then.
+/// Share of those decisions that have word, from which what has none is nacked: later it may have one.
 const WORDED: f64 = 0.1;
 /// Room for what was offered of late, in refills of that time, as a burst may use the store besides.
 const ROOM: f64 = 2.2;
@@ -95,8 +89,7 @@
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 10.0;
 
-/// Times that the pause before the list is asked for anew doubles, and its most, µs, where nothing is said of that: a
-/// crowd that all comes back each second has a discovery with room for a part of it answer nobody.
+/// Times that the pause before the list is asked anew doubles, and its most, µs: a crowd must not stay one.
 const MOST_DOUBLED: u32 = 4;
 const ASKED: Micros = 10 * SECOND;
 
@@ -264,9 +257,8 @@
         }
         self.serve(now);
         if now >= self.looked + SECOND {
-            let used = self.servers.values().filter(|server| server.ready && server.mine);
-            let warm = used.filter(|server| self.share(server, now) >= 1.0).count();
-            // Where none is warm there is no telling: taken for nothing, it would starve all of them for good.
+            let warm = self.used().filter(|server| self.share(server, now) >= 1.0).count();
+            // Where none is warm there is no telling: taken for nothing, it would starve all of them.
             let change = if warm == 0 { 0.0 } else { f64::from(self.sent) / warm as f64 - self.carried };
             self.carried += if self.carried == 0.0 { change } else { NEWEST * change };
             (self.looked, self.sent) = (now, 0);
@@ -295,22 +287,24 @@
             if server.cap == 0.0 || server.started != entry.started {
                 // New, or the same machine started anew: what was learnt of it no longer holds. All gateways
                 // hear of it at about one time, and must not all send to it first thing.
-                *server = Server::anew(server.out, entry.started, self.chance.gen(), now);
+                *server = server.anew(entry.started, self.chance.gen(), now);
             }
             (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
             server.ready = entry.state == State::Ready;
         }
-        self.servers.retain(|_, server| server.ready || server.out > 0);
-        // Too many gateways for the servers: each takes some, in a row from its own place on. All servers have as many
-        // gateways, and a change of the list moves few of them, or all would have to be met and learnt anew.
+        let warm_up = self.settings.warm_up;
+        let told = |server: &Server| server.cordoned || server.recalled.is_some_and(|at| now < at + warm_up);
+        self.servers.retain(|_, server| server.ready || server.out > 0 || told(server));
+        // Too many gateways for the servers: each takes some, in a row from its own place on, which a change of
+        // the list moves little, or all would have to be met and learnt anew.
         let ready = self.servers.iter().filter(|(_, server)| server.ready);
         let mut row: Vec<(u64, Id)> = ready.map(|(id, _)| (phase(id, Micros::MAX), id.clone())).collect();
         row.sort();
         let (all, gateways) = (row.len().max(1), self.settings.gateways.max(1) as usize);
         let part = (all / (gateways / SHARED_BY).max(1)).max(FEWEST).min(all);
         let first = self.settings.me as usize % gateways * all / gateways;
-        self.shared = (gateways * part) as f64 / all as f64;
-        let cap = FIRST_CAPS / self.gateways_a_server();
+        self.shared = ((gateways * part) as f64 / all as f64).max(1.0);
+        let cap = FIRST_CAPS / self.shared;
         for (place, (_, id)) in row.iter().enumerate() {
             let Some(server) = self.servers.get_mut(id) else { continue };
             server.mine = (place + all - first) % all < part;
@@ -321,6 +315,28 @@
         }
     }
 
+    /// The operators leave a server out of use, whatever the list says of it.
+    pub fn cordon(&mut self, server: &Id) {
+        self.servers.entry(server.clone()).or_default().cordoned = true;
+        self.host.close_idle(server);
+    }
+
+    /// They call it back: it has been started anew meanwhile, though the list may not say so yet.
+    pub fn uncordon(&mut self, server: &Id) {
+        let (now, shared) = (self.host.now(), self.shared);
+        let Some(server) = self.servers.get_mut(server) else { return };
+        (server.cordoned, server.recalled) = (false, Some(now));
+        // It is met at once, by some of many gateways: operators call them all at about one time.
+        let met = (FIRST_CAPS / shared).max(self.chance.gen()).min(1.0);
+        (server.cold, server.cold_at, server.credit, server.rests) = (met, now, 1.0, now);
+    }
+
+    /// Whether a server is avoided now, by the operators' word or for the trips that it lost.
+    pub fn avoids(&self, server: &Id) -> bool {
+        let now = self.host.now();
+        self.servers.get(server).is_some_and(|server| server.cordoned || server.ready && server.rests > now)
+    }
+
     /// The list could not be had, or follows no longer.
     pub fn list_failed(&mut self) {
         self.misses = (self.misses + 1).min(MOST_DOUBLED);
@@ -385,7 +401,7 @@
             return self.decide(&id, now);
         }
         let may_be = matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Error);
-        // What was not added must not stay untold, or each gateway takes itself for the only one; but it fades.
+        // What was not added must not stay untold, or each gateway takes itself for all; but it fades.
         let faded = (-((now - customer.judged) as f64) / plan.grown(now, now).1).exp();
         customer.untold = if may_be { 0.0 } else { customer.untold * faded + new };
         if outcome != Outcome::Ok {
@@ -518,7 +534,7 @@
             let word = customer.told == Some(now);
             known = word || customer.known + ROUNDING >= limit;
             self.worded += STEADY * (f64::from(u8::from(known)) - self.worded);
-            // Nacked without word it comes again elsewhere, where there may be one; let in, it is in no count.
+            // Nacked without word it comes again where there may be one; let in, it is in no count.
             likely &= now >= self.calls.heard + STALE || self.worded < WORDED;
             within &= if word { customer.passing + ROUNDING >= arrived.units } else { likely && !known };
             customer.passing -= if word && within { arrived.units } else { 0.0 };
@@ -603,9 +619,8 @@
             (customer.out_span, customer.out_added) = (span, 0.0);
         }
         let amount = f64::from(customer.out) - customer.out_added;
-        // What came back is always told, or the count would keep it for out; and what is still out, to the next
-        // name as soon as that begins, or there would be room for as many again. So is the first that comes here
-        // in a name: all that is known of the others is from another.
+        // Always told: what came back, or the count would keep it for out; what is still out, to the next name
+        // as soon as that begins, or there would be room for as many again; the first in a name.
         let told = amount < 0.0 || moves || share >= 1.0;
         if amount != 0.0 && (told || self.chance.gen::<f64>() < share) {
             if amount > 0.0 {
@@ -618,13 +633,14 @@
         }
     }
 
-    fn gateways_a_server(&self) -> f64 {
-        self.shared.max(1.0)
+    /// The servers that first trips may go to.
+    fn used(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|server| server.ready && server.mine && !server.cordoned)
     }
 
     /// The share of its capacity that a server surely has, by the time since its start.
     fn share(&self, server: &Server, now: Micros) -> f64 {
-        let Some(started) = server.started else { return 1.0 };
+        let Some(started) = server.started.max(server.recalled) else { return 1.0 };
         let age = now.saturating_sub(started) as f64 / self.settings.warm_up.max(1) as f64;
         (self.settings.cold_share + (1.0 - self.settings.cold_share) * age).min(1.0)
     }
@@ -633,23 +649,22 @@
     /// part of what the server surely can do, with many gateways less than one trip at a time.
     fn budget(&self, server: &Server, now: Micros) -> f64 {
         let can = self.share(server, now) * self.carried * seconds(self.settings.fall_window);
-        let part = (COLD_USE * self.settings.fall_multiple * can).max(0.5 / self.gateways_a_server());
+        let part = (COLD_USE * self.settings.fall_multiple * can).max(0.5 / self.shared);
         let windows = (now - server.cold_at) as f64 / self.settings.fall_window.max(1) as f64;
         (server.cold + part * windows).min(part.max(1.0))
     }
 
     /// Trips out at the servers in use, and how many may be: the sum of caps, or less while all are slow.
     fn fill(&self) -> (f64, f64) {
-        let used = self.servers.values().filter(|server| server.ready && server.mine);
         let sum = |sum: (f64, f64), server: &Server| (sum.0 + f64::from(server.out), sum.1 + server.cap);
-        let least = self.least_cap() * used.clone().count() as f64;
-        let (out, caps) = used.fold((0.0, 0.0), sum);
+        let least = self.least_cap() * self.used().count() as f64;
+        let (out, caps) = self.used().fold((0.0, 0.0), sum);
         // Many gateways see few answers each: what all servers show is learnt long before what each one does.
         (out, (caps * (SLOW / self.pace).min(1.0)).max(least))
     }
 
     fn least_cap(&self) -> f64 {
-        (LEAST_CAPS / self.gateways_a_server()).min(1.0)
+        (LEAST_CAPS / self.shared).min(1.0)
     }
 
     /// The next server by weighted rotation among those that may have this transaction and have room.
@@ -661,6 +676,7 @@
         }
         let fits = |(id, server): &(&Id, &Server)| {
             server.ready
+                && !server.cordoned
                 && (server.mine || bound.is_some())
                 && bound.is_none_or(|(group, until)| now < until && group == self.group(lane, server))
                 && f64::from(server.out) < server.cap.max(1.0)
@@ -867,8 +883,7 @@
         self.judged = now;
     }
 
-    /// A period, and the units that pass in it, where the even part of the burst holds no unit: a gateway that sees
-    /// so little of a customer can't keep account of it.
+    /// A period, and the units that pass in it, for a customer of whom a gateway sees too little for an account.
     fn thin(&self, plan: &Plan) -> Option<(Micros, f64)> {
         let limit = (THIN * plan.burst).round().max(1.0);
         let thin = plan.rate > 0.0 && self.spread > 1.0 && 2.0 * plan.burst < self.spread;
@@ -887,13 +902,6 @@
     }
 }
 
-/// A place below `span` for an id, spread evenly, that every gateway works out alike: when a customer's names change,
-/// or where a server stands in the row.
-fn phase(id: &Id, span: Micros) -> Micros {
-    let mixed = id.bytes().fold(MIX, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(MIX));
-    ChaCha8Rng::seed_from_u64(mixed).gen_range(0..span)
-}
-
 impl Plan {
     /// What a unit weighs beside one at its name's start, the time in which units fade, and that of a name.
     fn grown(&self, start: Micros, now: Micros) -> (f64, f64, Micros) {
--- a/crates/fernscale/src/state.rs
+++ b/crates/fernscale/src/state.rs
@@ -1,5 +1,8 @@
 //! What one gateway remembers: records without any decision. `policy.rs` fills and reads them.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use crate::interface::{Id, Micros, Transaction};
 
 #[derive(Default)]
@@ -9,6 +12,9 @@
     /// Takes new trips, and is among those that this gateway uses.
     pub ready: bool,
     pub mine: bool,
+    /// The operators' word: left out of use, or when it was called back, cold.
+    pub cordoned: bool,
+    pub recalled: Option<Micros>,
     pub rating: f64,
     pub started: Option<Micros>,
     pub out: u32,
@@ -27,8 +33,10 @@
 
 impl Server {
     /// One that nothing is known of, whether new or started anew; what is still out there stays so.
-    pub fn anew(out: u32, started: Option<Micros>, cold: f64, now: Micros) -> Self {
-        Server { out, started, cold, cold_at: now, pace: 1.0, relative: 1.0, ..Server::default() }
+    pub fn anew(&self, started: Option<Micros>, cold: f64, now: Micros) -> Self {
+        let Server { out, cordoned, recalled, .. } = *self;
+        let fresh = Server { pace: 1.0, relative: 1.0, cold, cold_at: now, ..Server::default() };
+        Server { out, cordoned, recalled, started, ..fresh }
     }
 }
 
@@ -110,3 +118,13 @@
     pub heard: Micros,
     pub quickest: Micros,
 }
+
+/// Factor that mixes the bytes of an id: the prime of the hash FNV-1a.
+const MIX: u64 = 0x100_0000_01b3;
+
+/// A place below `span` for an id, spread evenly, that every gateway works out alike: when a customer's names change,
+/// or where a server stands in the row.
+pub fn phase(id: &Id, span: Micros) -> Micros {
+    let mixed = id.bytes().fold(MIX, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(MIX));
+    ChaCha8Rng::seed_from_u64(mixed).gen_range(0..span)
+}
--- a/crates/gateway/src/program/config.rs
+++ b/crates/gateway/src/program/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 
 use fernscale::interface::Settings;
@@ -15,6 +16,10 @@
 
 /// Names the platform's file.
 const FILE: &str = "BALANCER_CONFIG";
+/// The second address, where the file has none.
+const OPERATOR: &str = "BALANCER_OPERATOR";
+/// The number of the descriptor that is the clients' listening socket.
+pub const PASSED: &str = "BALANCER_PASSED_SOCKET";
 
 #[derive(Debug)]
 pub struct Config {
@@ -22,6 +27,10 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
+    /// Where operators call; absent, nobody does.
+    pub operator: Option<SocketAddr>,
+    /// The descriptor of the listening socket that this process was started with; absent, it binds its own.
+    pub passed: Option<RawFd>,
     pub sockets: usize,
     pub memory_mb: usize,
     pub settings: Settings,
@@ -110,6 +119,21 @@
     if settings.lanes.is_empty() || settings.plans.is_empty() {
         return Err("'settings' has no 'lanes' or no 'tiersOfService'".into());
     }
+    let operator = match (config.get("operator"), std::env::var(OPERATOR)) {
+        (Some(_), _) => Some(address("operator")?),
+        (None, Ok(text)) => {
+            let wrong = |_| format!("{OPERATOR} is '{text}', which is no address of a socket");
+            Some(text.parse().map_err(wrong)?)
+        }
+        (None, Err(_)) => None,
+    };
+    let passed = match std::env::var(PASSED) {
+        Ok(text) => {
+            let number = text.parse().ok().filter(|number| *number > 2);
+            Some(number.ok_or_else(|| format!("{PASSED} is '{text}', which is no descriptor of a socket"))?)
+        }
+        Err(_) => None,
+    };
     let limit = |name: &str, absent: u64| {
         config.pointer(&format!("/limits/{name}")).and_then(Value::as_u64).unwrap_or(absent) as usize
     };
@@ -124,6 +148,8 @@
         listen: address("listen")?,
         discovery: address("discovery")?,
         counter: if settings.counter { Some(address("counter")?) } else { None },
+        operator,
+        passed,
         sockets: limit("sockets", DESCRIPTORS),
         memory_mb: limit("memory_mb", MEMORY_MB),
         settings,
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -1,7 +1,9 @@
 //! Starts the parts of a gateway, and ends them.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::fmt::Display;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,15 +16,17 @@
 use serde_json::Value;
 use slog::{info, warn, Logger};
 
-use super::config::{Config, Source};
+use super::config::{Config, Source, PASSED};
 use crate::routing::client::Door;
 use crate::routing::counter::Counter;
+use crate::routing::figures::Figures;
 use crate::routing::list::{self, List};
 use crate::routing::mesh::Mesh;
 use crate::routing::module::Module;
+use crate::routing::operator::{self, Desk};
 use crate::routing::{Event, Shared, MOST_EVENTS, MOST_ORDERS};
 use crate::transport::clock::{micros, Clock};
-use crate::transport::limits::Limits;
+use crate::transport::limits::{Limits, OPERATORS};
 
 /// After SIGTERM new connections keep coming for some tenths of a second; all that come until then are heard.
 const STILL_COMING: Duration = Duration::from_millis(700);
@@ -49,10 +53,11 @@
 ) -> Result<(), String> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Hup]).map_err(|error| format!("no signals: {error}"))?;
-    let listener = Async::<TcpListener>::bind(config.listen);
-    let listener = listener.map_err(|error| format!("can't listen on {}: {error}", config.listen))?;
-    rustix::net::listen(&listener, AWAITING)
-        .map_err(|error| format!("can't listen on {}: {error}", config.listen))?;
+    let listener = match config.passed {
+        Some(number) => passed(number)?,
+        None => listen(config.listen)?,
+    };
+    let operators = config.operator.map(listen).transpose()?;
     info!(log, #"gateway.starts", "starts"; "listen" => config.listen.to_string(), "sockets" => config.sockets,
         "memory_mb" => config.memory_mb,
         "known" => config.known.as_ref().map_or(0, |known| known.servers.len()));
@@ -64,9 +69,13 @@
         limits: Limits::new(
             config.sockets.saturating_sub(config.mesh.as_ref().map_or(0, |_| MESH)),
             config.memory_mb,
+            operators.as_ref().map_or(0, |_| OPERATORS + 1),
         ),
+        figures: Figures::new(&config.outside.lanes),
+        cordoned: RefCell::default(),
         outside: config.outside,
         ready: Cell::new(false),
+        listening: Cell::new(false),
         stopping: Cell::new(false),
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
@@ -87,9 +96,23 @@
         let _ = list.try_send(list::Order::Follow(true));
     }
     let module = Module::new(&shared, config.settings, &events, counter, list.clone());
-    executor.spawn(module.run(config.known, mailbox)).detach();
+    let (order, ordered) = async_channel::bounded(operator::MOST_ORDERS);
+    executor.spawn(module.run(config.known, mailbox, ordered)).detach();
+    if let Some(listener) = operators {
+        executor.spawn(Desk::new(&shared, order).run(listener)).detach();
+    }
     let (stay, leave) = async_channel::bounded(1);
-    executor.spawn(Door::new(&shared, &events, leave).run(Rc::new(listener))).detach();
+    let door = Door::new(&shared, &events, leave);
+    let (waits, shares) = (shared.clone(), config.passed.is_some());
+    let opens = async move {
+        // Whoever else listens there serves clients meanwhile.
+        while shares && !waits.ready.get() {
+            Timer::after(LOOK).await;
+        }
+        waits.listening.set(true);
+        door.run(Rc::new(listener)).await;
+    };
+    executor.spawn(opens).detach();
 
     let mut others = Others { discovery: config.discovery, counter: config.counter, fixed: config.fixed };
     while let Some(signal) = signals.next().await {
@@ -109,6 +132,28 @@
     Ok(())
 }
 
+fn listen(address: SocketAddr) -> Result<Async<TcpListener>, String> {
+    let failed = |error: &dyn Display| format!("can't listen on {address}: {error}");
+    let listener = Async::<TcpListener>::bind(address).map_err(|error| failed(&error))?;
+    rustix::net::listen(&listener, AWAITING).map_err(|error| failed(&error))?;
+    Ok(listener)
+}
+
+/// The listening socket that this process was started with.
+fn passed(number: RawFd) -> Result<Async<TcpListener>, String> {
+    let failed = |why: &dyn Display| {
+        format!("{PASSED} names descriptor {number}, which is no listening socket: {why}")
+    };
+    // SAFETY: nothing else in this process knows of the descriptor, which is taken once, at the start, before any other
+    // is opened here that could have its number.
+    let socket = unsafe { OwnedFd::from_raw_fd(number) };
+    let listens = rustix::net::sockopt::socket_acceptconn(&socket).map_err(|error| failed(&error))?;
+    if !listens {
+        return Err(failed(&"it does not listen"));
+    }
+    Async::new(TcpListener::from(socket)).map_err(|error| failed(&error))
+}
+
 /// What a new configuration may name anew while the gateway runs, and what it may not.
 struct Others {
     discovery: SocketAddr,
--- a/crates/gateway/src/protocol/mod.rs
+++ b/crates/gateway/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod catalog;
 pub mod http;
+pub mod operator;
 pub mod resp;
 
 /// A message and how many bytes it took, or `None` while its end has not come; else why it never can.
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -12,6 +12,7 @@
 use futures_lite::{future, StreamExt};
 use slog::{debug, warn};
 
+use super::figures::Result as Figure;
 use super::{Asked, Event, Places, Reply, Shared};
 use crate::protocol::call::{self, Answer, Request};
 use crate::protocol::resp;
@@ -157,6 +158,8 @@
     /// The transaction, as long as it has no answer.
     open: Option<(Id, u64)>,
     answer: Option<(Vec<u8>, Option<Places>)>,
+    /// The lane, and under what its answer is counted once it is written.
+    figure: Option<(usize, Figure)>,
 }
 
 struct Client {
@@ -229,6 +232,7 @@
                 Step::Answer(number, answer, places) => {
                     if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.number == number) {
                         waiting.open = None;
+                        waiting.figure = waiting.figure.map(|(lane, _)| (lane, Figure::of(&answer)));
                         waiting.answer = Some((answer.write(), Some(places)));
                     }
                 }
@@ -237,7 +241,7 @@
                 Step::Read(Err(Ending::NoMemory)) => {
                     // Nothing has been done with it, and it may well come again.
                     let wait = self.shared.outside.wait;
-                    self.say(Answer::Nacked(wait).write());
+                    self.say(Answer::Nacked(wait).write(), None);
                     self.last = true;
                 }
                 // Who has said nothing may yet ask, and would take an error for the answer.
@@ -317,14 +321,16 @@
                 let places = limits.open.take(1).zip(limits.bytes.take(call.weight()));
                 let Some((open, bytes)) = places.filter(|_| self.served) else {
                     // No room to take it: nothing has been done, and it may well come again.
-                    return self.say(Answer::Nacked(self.shared.outside.wait).write());
+                    let figure = Some((call.transaction.lane, Figure::Nacked));
+                    return self.say(Answer::Nacked(self.shared.outside.wait).write(), figure);
                 };
                 let number = self.next;
                 self.next += 1;
                 let ticket = self.shared.tickets.get();
                 self.shared.tickets.set(ticket + 1);
                 let open_as = Some((call.transaction.id.clone(), ticket));
-                self.waiting.push_back(Waiting { number, open: open_as, answer: None });
+                let figure = Some((call.transaction.lane, Figure::Failed));
+                self.waiting.push_back(Waiting { number, open: open_as, answer: None, figure });
                 let reply = Reply { ticket, number, to: self.answered.clone(), places: [open, bytes] };
                 let asked = Asked { call, reply, came: Instant::now() };
                 drop(self.events.send(Event::Asked(asked)).await);
@@ -344,14 +350,14 @@
                 call::error(&why)
             }
         };
-        self.say(answer);
+        self.say(answer, None);
     }
 
     /// An answer that needs nobody else.
-    fn say(&mut self, answer: Vec<u8>) {
+    fn say(&mut self, answer: Vec<u8>, figure: Option<(usize, Figure)>) {
         let number = self.next;
         self.next += 1;
-        self.waiting.push_back(Waiting { number, open: None, answer: Some((answer, None)) });
+        self.waiting.push_back(Waiting { number, open: None, answer: Some((answer, None)), figure });
     }
 
     /// Waits until it is this client's turn to hear that it asked wrongly. It makes room for others, if need be.
@@ -376,16 +382,21 @@
     /// What follows can't be told apart any more: one error, and the end.
     async fn misread(&mut self, why: &str) {
         self.turn().await;
-        self.say(call::error(&format!("bad syntax: {why}")));
+        self.say(call::error(&format!("bad syntax: {why}")), None);
         self.last = true;
     }
 
     /// Writes the answers that are next in order.
     async fn write(&mut self) -> Result<(), Ending> {
         while self.waiting.front().is_some_and(|waiting| waiting.answer.is_some()) {
-            let Some(Waiting { answer: Some((bytes, places)), .. }) = self.waiting.pop_front() else { break };
+            let Some(Waiting { answer: Some((bytes, places)), figure, .. }) = self.waiting.pop_front() else {
+                break;
+            };
             let until = Instant::now() + UNREAD;
             within(until, Ending::Silent, self.connection.write(&bytes)).await?;
+            if let Some((lane, result)) = figure {
+                self.shared.figures.answered(lane, result);
+            }
             drop::<Option<[Place; 2]>>(places);
         }
         Ok(())
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -3,13 +3,16 @@
 
 pub mod client;
 pub mod counter;
+pub mod figures;
 pub mod list;
 pub mod mesh;
 pub mod module;
+pub mod operator;
 pub mod outcome;
 pub mod peer;
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -37,8 +40,13 @@
     pub clock: Clock,
     pub limits: Limits,
     pub outside: Outside,
+    pub figures: figures::Figures,
+    /// Servers that the operators have taken out of use: no trip to one of them begins.
+    pub cordoned: RefCell<BTreeSet<Id>>,
     /// Servers are known, so that transactions can be served.
     pub ready: Cell<bool>,
+    /// Clients are accepted.
+    pub listening: Cell<bool>,
     /// This gateway ends: answers what has come and still comes, and takes leave of clients.
     pub stopping: Cell<bool>,
     /// From when on a client may be told that it asked wrongly.
@@ -49,6 +57,13 @@
     pub mesh: OnceCell<Rc<mesh::Mesh>>,
 }
 
+impl Shared {
+    /// Whether this process serves clients that come now.
+    pub fn serves(&self) -> bool {
+        self.ready.get() && self.listening.get() && !self.stopping.get()
+    }
+}
+
 /// What happens, for the module.
 pub enum Event {
     Asked(Asked),
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -15,8 +15,9 @@
 use fernscale_tally::tally::{self, End, Step, Tally};
 
 use super::counter::Add;
+use super::figures::Pool;
 use super::outcome::{self, Lost, Told};
-use super::{list, peer, Asked, Event, Reply, Return, Shared};
+use super::{list, operator, peer, Asked, Event, Reply, Return, Shared};
 use crate::protocol::call::{Answer, Call, Said};
 use crate::protocol::catalog::Members;
 use crate::transport::clock::Alarm;
@@ -107,6 +108,13 @@
     ready: bool,
 }
 
+/// What the actor turns to next.
+enum Turn {
+    Operate(operator::Order),
+    Event(Event),
+    Ring,
+}
+
 pub struct Module {
     shared: Rc<Shared>,
     gateway: Gateway<Hands>,
@@ -150,7 +158,13 @@
         }
     }
 
-    pub async fn run(mut self, known: Option<Members>, mailbox: Receiver<Event>) {
+    /// `operators` is what they want of it, and goes before all else: they are owed an answer under any load.
+    pub async fn run(
+        mut self,
+        known: Option<Members>,
+        mailbox: Receiver<Event>,
+        operators: Receiver<operator::Order>,
+    ) {
         let mut mailbox = std::pin::pin!(mailbox);
         if let Some(known) = known {
             self.learn(&known);
@@ -159,20 +173,34 @@
         let mut alarm = Alarm::new();
         loop {
             let next = self.alarms.first_key_value().map(|((at, _), _)| self.shared.clock.instant(*at));
-            let event = match mailbox.try_recv() {
-                Ok(event) => Some(event),
+            if let Ok(order) = operators.try_recv() {
+                self.operate(order);
+                self.act().await;
+                continue;
+            }
+            let turn = match mailbox.try_recv() {
+                Ok(event) => Turn::Event(event),
                 Err(_) => {
                     let ring = async {
                         alarm.ring(next).await;
-                        None
+                        Turn::Ring
+                    };
+                    let operate = async {
+                        match operators.recv().await {
+                            Ok(order) => Turn::Operate(order),
+                            Err(_) => future::pending().await,
+                        }
                     };
-                    future::or(async { mailbox.next().await }, ring).await
+                    let event = async { mailbox.next().await.map_or(Turn::Ring, Turn::Event) };
+                    future::or(operate, future::or(event, ring)).await
                 }
             };
-            if let Some(event) = event {
-                self.tell(event);
-                self.act().await;
+            match turn {
+                Turn::Operate(order) => self.operate(order),
+                Turn::Event(event) => self.tell(event),
+                Turn::Ring => {}
             }
+            self.act().await;
             self.ring().await;
         }
     }
@@ -188,6 +216,28 @@
         }
     }
 
+    fn operate(&mut self, order: operator::Order) {
+        self.look_at_clock();
+        match order {
+            operator::Order::Pool(told) => {
+                let avoided = self.peers.keys().filter(|server| self.gateway.avoids(server)).count();
+                let pool = Pool { size: self.peers.len(), avoided };
+                let _ = told.try_send(pool);
+            }
+            operator::Order::Cordon { server, on, done } => {
+                let mut cordoned = self.shared.cordoned.borrow_mut();
+                let known = cordoned.contains(&server) || self.peers.contains_key(&server);
+                if known && on {
+                    cordoned.insert(server.clone());
+                    self.gateway.cordon(&server);
+                } else if cordoned.remove(&server) {
+                    self.gateway.uncordon(&server);
+                }
+                let _ = done.try_send(known);
+            }
+        }
+    }
+
     fn look_at_clock(&self) {
         self.desk.borrow_mut().now = self.shared.clock.now();
     }
--- a/crates/gateway/src/routing/peer.rs
+++ b/crates/gateway/src/routing/peer.rs
@@ -165,7 +165,8 @@
     async fn trip(self: Rc<Self>, call: Rc<Call>, trip: usize, limit: Micros, made: Instant) {
         let until = made + Duration::from_micros(limit);
         let command = call.command(limit);
-        let end = self.exchange(&command, until, |bytes, ended| call::said(bytes, ended, self.load()));
+        let sent = || self.shared.figures.tried();
+        let end = self.exchange(&command, until, sent, |bytes, ended| call::said(bytes, ended, self.load()));
         let end = end.await;
         let transaction = call.transaction.id.clone();
         if let Some((task, _)) = self.trips.borrow_mut().remove(&(transaction.clone(), trip)) {
@@ -184,18 +185,20 @@
             Some(_) => Err("no good word"),
             None => Ok(None),
         };
-        self.exchange(&command, until, said).await
+        self.exchange(&command, until, || {}, said).await
     }
 
     fn load(&self) -> &[String] {
         &self.shared.outside.load
     }
 
-    /// Has a command answered on a connection of its own. `scan` is told whether no more will come.
+    /// Has a command answered on a connection of its own. `sent` is called once its last byte is written; `scan` is
+    /// told whether no more will come.
     async fn exchange<T>(
         &self,
         command: &[u8],
         until: Instant,
+        sent: impl Fn(),
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<T, Lost> {
         let (connection, idle) = match self.quiet_one() {
@@ -205,7 +208,7 @@
             }
             None => (within(until, Ending::NeverUp, self.dial()).await.map_err(Lost::unsent)?, None),
         };
-        let end = self.exchange_on(connection, command, until, scan).await;
+        let end = self.exchange_on(connection, command, until, sent, scan).await;
         self.learn(idle, &end);
         end
     }
@@ -216,9 +219,16 @@
         mut connection: Connection,
         command: &[u8],
         until: Instant,
+        sent: impl Fn(),
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<T, Lost> {
+        // Danger: a trip that was on its way here, or dialling, when the server was taken out of use. Nothing is waited
+        // for between this look and the first byte.
+        if self.shared.cordoned.borrow().contains(&self.server) {
+            return Err(Lost::unsent(Ending::Cordoned));
+        }
         within(until, Ending::Silent, connection.write(command)).await.map_err(Lost::unsent)?;
+        sent();
         // An answer that has begun comes in one piece: its end is not longer in coming than a connection is.
         let piece = Duration::from_micros(self.shared.outside.dial);
         let said = match connection.message(|bytes| scan(bytes, false), until, piece).await {
--- a/crates/gateway/src/transport/ending.rs
+++ b/crates/gateway/src/transport/ending.rs
@@ -24,6 +24,8 @@
     Stalled,
     /// What was asked on it is not wanted any more.
     GivenUp,
+    /// The operators have taken the server out of use.
+    Cordoned,
     /// It was not used for long, or its place is needed.
     Idle,
     /// This gateway ends.
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -9,6 +9,9 @@
 /// the listener, a connection of the list and of the counter, those of counters that were left and still owe answers,
 /// one that was accepted and has no place yet, and as many again for what closes late.
 const OWN: usize = 24;
+/// Callers at the second address that may be in the middle of a call: a few operators and what scrapes the figures,
+/// with as many that stall.
+pub const OPERATORS: usize = 16;
 /// Share of the rest that servers' connections may take, in tenths: one for each trip, and clients wait more than they
 /// are served. What clients then have is more than half of all: they use a third, and that of a gateway that restarts
 /// comes on top.
@@ -92,8 +95,9 @@
 }
 
 impl Limits {
-    pub fn new(sockets: usize, memory_mb: usize) -> Self {
-        let rest = sockets.saturating_sub(OWN);
+    /// `reserved`: descriptors for what else this gateway has been told to have.
+    pub fn new(sockets: usize, memory_mb: usize, reserved: usize) -> Self {
+        let rest = sockets.saturating_sub(OWN + reserved);
         let servers = rest * SERVERS_TENTHS / 10;
         let turned_away = (rest - servers) * TURNED_AWAY_TENTHS / 10;
         let part = (memory_mb.saturating_sub(PROGRAM_MIB) * 1024 * 1024 / PARTS).max(MOST_MESSAGE);
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -1,6 +1,6 @@
 //! Single actors, without a process round them.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -13,6 +13,7 @@
 use fernscale::interface::Outcome;
 use fernscale::settings::Outside;
 use fernscale_gateway::routing::counter::{Add, Counter};
+use fernscale_gateway::routing::figures::Figures;
 use fernscale_gateway::routing::list::{self, List};
 use fernscale_gateway::routing::outcome::of_call;
 use fernscale_gateway::routing::{Event, Shared};
@@ -24,9 +25,12 @@
         executor: Rc::new(LocalExecutor::new()),
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock: Clock::start(),
-        limits: Limits::new(1024, 192),
+        limits: Limits::new(1024, 192, 0),
         outside: Outside { call: 50_000, ..Outside::default() },
+        figures: Figures::new(&[]),
+        cordoned: RefCell::default(),
         ready: Cell::new(true),
+        listening: Cell::new(true),
         stopping: Cell::new(false),
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
