Tests for the second address, its figures and cordons, as a process and at a server's actor

Ruled out: a dial that hangs at a full queue of connections; the system tries again a second later only, so that the trip ends by its time limit with or without the look at cordons.

--- /dev/null
+++ b/crates/cli/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The gateway as a process among small servers, a list and a counter: one test for each failure found or feared.
+
+mod end_to_end;
+mod operator;
+mod process;
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -12,10 +12,12 @@
 use async_io::Timer;
 use fernscale::interface::Outcome;
 use fernscale::settings::Outside;
+use fernscale_gateway::protocol::call::{self, Request};
 use fernscale_gateway::routing::counter::{Add, Counter};
 use fernscale_gateway::routing::figures::Figures;
 use fernscale_gateway::routing::list::{self, List};
-use fernscale_gateway::routing::outcome::of_call;
+use fernscale_gateway::routing::outcome::{of_call, of_trip};
+use fernscale_gateway::routing::peer::{self, Order};
 use fernscale_gateway::routing::{Event, Shared};
 use fernscale_gateway::transport::clock::{follow, Clock};
 use fernscale_gateway::transport::limits::Limits;
@@ -26,7 +28,13 @@
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock: Clock::start(),
         limits: Limits::new(1024, 192, 0),
-        outside: Outside { call: 50_000, ..Outside::default() },
+        outside: Outside {
+            call: 50_000,
+            dial: 250_000,
+            longest: 1_000_000,
+            units: 1e6,
+            ..Outside::default()
+        },
         figures: Figures::new(&[]),
         cordoned: RefCell::default(),
         ready: Cell::new(true),
@@ -249,3 +257,52 @@
     assert_eq!(full, [true, false, false]);
     assert!(gaps[2] >= Duration::from_millis(50), "{gaps:?}");
 }
+
+/// What becomes of a trip that was on its way to a server's actor when the server was `cordoned`, and how many bytes of
+/// it came there.
+fn trip_under_way(cordoned: bool) -> (Outcome, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a gateway");
+        let (mut bytes, mut part) = (0, [0; 1024]);
+        while !matches!(stream.read(&mut part), Ok(0) | Err(_)) {
+            bytes += 1;
+            stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n").expect("written");
+        }
+        bytes
+    });
+    let shared = shared();
+    let outside = Outside {
+        lanes: vec!["read".into()],
+        plans: vec!["team".into()],
+        gateways: 1,
+        ..shared.outside.clone()
+    };
+    let words = [&b"CALL.GET"[..], b"00000000b4d65521", b"t1", b"c=read,t=team,d=900"];
+
+    let Ok(Request::Call(call)) = call::request(&words, &outside) else { panic!("a call") };
+    let (events, told) = async_channel::bounded(4);
+    let name: fernscale::interface::Id = "s0".into();
+    let orders = peer::start(&shared, &events, &name, address);
+    let order = Order::Trip { call: Rc::new(call), trip: 0, limit: 900_000, made: Instant::now() };
+    let outcome = async {
+        orders.send(order).await.expect("the actor runs");
+        if cordoned {
+            shared.cordoned.borrow_mut().insert(name);
+        }
+        match told.recv().await.expect("the actor runs") {
+            Event::Returned(returned) => of_trip(&returned.end),
+            _ => panic!("another event"),
+        }
+    };
+    let outcome = async_io::block_on(shared.executor.run(outcome));
+    drop((orders, shared));
+    (outcome, server.join().expect("it ends"))
+}
+
+#[test]
+fn a_trip_on_its_way_when_its_server_is_taken_out_of_use_is_never_sent() {
+    assert_eq!(trip_under_way(false), (Outcome::Ok, 1));
+    assert_eq!(trip_under_way(true), (Outcome::NeverSent, 0));
+}
