Two processes of one gateway share cordons and limits; the old one leaves without a reset

Cause: cordons were known to one process only; the old one went on accepting from the shared queue and was killed or ended with what it had just accepted; it closed connections with something unread on them. Change: crates/handover, records in $TMPDIR with a lock each, on only where a socket is passed; the module is told its part of ceilings and cold budgets; places for descriptors follow what the other claims. The old process stops accepting at once, hears whoever has just come, and closes by saying so and reading on.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -98,6 +98,8 @@
     settings: Settings,
     chance: ChaCha8Rng,
     born: Micros,
+    /// Of this gateway's ceilings and cold budgets, where another process has the rest.
+    part: f64,
     servers: BTreeMap<Id, Server>,
     customers: BTreeMap<Id, Customer>,
     open: HashMap<Id, Open>,
@@ -138,6 +140,7 @@
         Gateway {
             chance: ChaCha8Rng::seed_from_u64(settings.seed),
             born,
+            part: 1.0,
             servers: BTreeMap::new(),
             customers: BTreeMap::new(),
             open: HashMap::new(),
@@ -331,6 +334,16 @@
         (server.cold, server.cold_at, server.credit, server.rests) = (met, now, 1.0, now);
     }
 
+    /// Of this gateway's ceilings and cold budgets so much is for this process; another has the rest.
+    pub fn part(&mut self, part: f64) {
+        let now = self.host.now();
+        for customer in self.customers.values_mut() {
+            customer.fill(&self.settings.plans[customer.plan], self.part, now);
+        }
+        // What others had until now may be used up.
+        (self.part, self.born) = (part, now);
+    }
+
     /// Whether a server is avoided now, by the operators' word or for the trips that it lost.
     pub fn avoids(&self, server: &Id) -> bool {
         let now = self.host.now();
@@ -387,7 +400,7 @@
         }
         let Some((amount, new)) = customer.adding.take() else { return };
         let plan = &self.settings.plans[customer.plan];
-        customer.fill(plan, now);
+        customer.fill(plan, self.part, now);
         if let Some((_, limit)) = customer.thin(plan) {
             // Of the units offered in this period the first pass, as many as the quota gives in it.
             if outcome == Outcome::Ok {
@@ -482,11 +495,13 @@
                 draw: chance.gen(),
                 // Kept alone, by the even part: empty at first, as a gateway that was killed may have used it
                 // up, and no fuller than that of a customer who was forgotten.
-                ceiling: plan.ceiling.map_or(0.0, |ceiling| ceiling.rate * even * seconds(age.min(QUIET))),
+                ceiling: plan
+                    .ceiling
+                    .map_or(0.0, |ceiling| self.part * ceiling.rate * even * seconds(age.min(QUIET))),
                 ..Customer::default()
             }
         });
-        customer.fill(plan, now);
+        customer.fill(plan, self.part, now);
         customer.out += 1;
         customer.offered += arrived.units;
         customer.doubt = match customer.told {
@@ -649,7 +664,7 @@
     /// part of what the server surely can do, with many gateways less than one trip at a time.
     fn budget(&self, server: &Server, now: Micros) -> f64 {
         let can = self.share(server, now) * self.carried * seconds(self.settings.fall_window);
-        let part = (COLD_USE * self.settings.fall_multiple * can).max(0.5 / self.shared);
+        let part = self.part * (COLD_USE * self.settings.fall_multiple * can).max(0.5 / self.shared);
         let windows = (now - server.cold_at) as f64 / self.settings.fall_window.max(1) as f64;
         (server.cold + part * windows).min(part.max(1.0))
     }
@@ -804,7 +819,7 @@
         open.trips.push(Trip { server: to.clone(), sent: now, live: true, may_have_run: true });
         self.host.send(id, &to, limit);
         if let Some(customer) = self.customers.get_mut(&open.asked.customer) {
-            customer.fill(&self.settings.plans[customer.plan], now);
+            customer.fill(&self.settings.plans[customer.plan], self.part, now);
             customer.held -= if first { open.asked.units } else { 0.0 };
         }
     }
@@ -863,13 +878,14 @@
 
 impl Customer {
     /// Lets the store and the part of the ceiling refill up to now.
-    fn fill(&mut self, plan: &Plan, now: Micros) {
+    fn fill(&mut self, plan: &Plan, part: f64, now: Micros) {
         let time = seconds(now - self.filled);
         let shared = if self.told.is_some() { 1.0 } else { 1.0 / self.spread };
         self.store = (self.store + plan.rate * shared * time).min(plan.burst);
         if let Some(Ceiling { rate, burst }) = plan.ceiling {
             // What waits leaves later: were its part to fill up meanwhile, both could leave at once.
-            self.ceiling = (self.ceiling + rate / self.spread * time).min(burst / self.spread - self.held);
+            let part = part / self.spread;
+            self.ceiling = (self.ceiling + part * rate * time).min(part * burst - self.held);
         }
         self.filled = now;
     }
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -20,6 +20,7 @@
 use crate::routing::client::Door;
 use crate::routing::counter::Counter;
 use crate::routing::figures::Figures;
+use crate::routing::handover::Link;
 use crate::routing::list::{self, List};
 use crate::routing::mesh::Mesh;
 use crate::routing::module::Module;
@@ -35,6 +36,8 @@
 const AWAITING: i32 = 1_024;
 /// Descriptors for the way to other gateways: a socket, a listener, exchanges both ways.
 const MESH: usize = 16;
+/// How long the other process may take to say that it knows of this one; without its word, what needs one is refused.
+const SETTLED: Duration = Duration::from_secs(3);
 /// Pause between two looks at whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -79,6 +82,7 @@
         stopping: Cell::new(false),
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
+        handover: OnceCell::new(),
         mesh: OnceCell::new(),
     });
     if let Some(settings) = &config.mesh {
@@ -99,18 +103,34 @@
     let (order, ordered) = async_channel::bounded(operator::MOST_ORDERS);
     executor.spawn(module.run(config.known, mailbox, ordered)).detach();
     if let Some(listener) = operators {
-        executor.spawn(Desk::new(&shared, order).run(listener)).detach();
+        executor.spawn(Desk::new(&shared, order.clone()).run(listener)).detach();
     }
     let (stay, leave) = async_channel::bounded(1);
     let door = Door::new(&shared, &events, leave);
-    let (waits, shares) = (shared.clone(), config.passed.is_some());
+    let shares = config.passed.is_some();
+    if shares {
+        let link = Link::open(&shared, &std::env::temp_dir(), config.sockets, order.clone());
+        match link.map(Rc::new) {
+            Ok(link) => {
+                executor.spawn(link.clone().run()).detach();
+                let _ = shared.handover.set(link);
+            }
+            Err(error) => {
+                let why = error.to_string();
+                warn!(log, #"handover.none", "goes on as if no other process had this gateway"; "why" => why);
+            }
+        }
+    }
+    let waits = shared.clone();
     let opens = async move {
         // Whoever else listens there serves clients meanwhile.
-        while shares && !waits.ready.get() {
+        let began = Instant::now();
+        let settled = || waits.handover.get().is_none_or(|link| link.settled()) || began.elapsed() > SETTLED;
+        while shares && !(waits.ready.get() && settled()) {
             Timer::after(LOOK).await;
         }
         waits.listening.set(true);
-        door.run(Rc::new(listener)).await;
+        door.run(listener, shares).await;
     };
     executor.spawn(opens).detach();
 
@@ -194,6 +214,9 @@
     let open = shared.limits.open.taken();
     info!(shared.log, #"gateway.ends", "ends"; "open" => open, "clients" => shared.limits.clients.taken());
     shared.stopping.set(true);
+    if let Some(link) = shared.handover.get() {
+        link.ends();
+    }
     stay.close();
     let mut stays_in_mesh = true;
     let most = STILL_COMING + Duration::from_micros(shared.outside.longest);
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -85,9 +85,18 @@
         Door { shared: shared.clone(), events: events.clone(), idle: Rc::default(), leave, let_in: 0 }
     }
 
-    pub async fn run(mut self, listener: Rc<Async<TcpListener>>) {
+    /// Accepts clients. `shared`: another process accepts there too, and this one stops as soon as it ends.
+    pub async fn run(mut self, listener: Async<TcpListener>, shared: bool) {
         let mut incoming = std::pin::pin!(listener.incoming());
-        while let Some(stream) = incoming.next().await {
+        let leave = self.leave.clone();
+        loop {
+            let left = async {
+                if !shared || leave.recv().await.is_ok() {
+                    future::pending::<()>().await;
+                }
+                None
+            };
+            let Some(stream) = future::or(left, incoming.next()).await else { return };
             match stream {
                 Ok(stream) => self.let_in(stream).await,
                 Err(error) => {
@@ -141,7 +150,6 @@
             next: 0,
             served,
             last: false,
-            fresh: self.shared.stopping.get(),
             came: Instant::now(),
             number: self.let_in,
             wrong: 0,
@@ -178,8 +186,6 @@
     served: bool,
     /// No more commands are read: the connection ends when all are answered.
     last: bool,
-    /// Came in while this gateway ends, and is still to be heard once.
-    fresh: bool,
     came: Instant,
     number: u64,
     wrong: u32,
@@ -195,7 +201,7 @@
     async fn run(mut self) {
         let how = self.serve().await;
         debug!(self.shared.log, #"client.ended", "a client's connection ended"; "how" => ?how);
-        if how == Ending::Garbled {
+        if matches!(how, Ending::Garbled | Ending::Stopping) {
             self.linger().await;
         }
         // Whoever has gone is owed nothing.
@@ -216,7 +222,8 @@
                 if self.last {
                     return Ending::Garbled;
                 }
-                let leaves = self.shared.stopping.get() && !self.fresh || !self.served && self.next > 0;
+                // Who has just come has asked for something, though it may still be on its way.
+                let leaves = (self.shared.stopping.get() || !self.served) && self.next > 0;
                 // What has come meanwhile is answered first; of a command without its end nothing is taken.
                 if leaves && self.connection.still() {
                     return Ending::Stopping;
@@ -276,7 +283,7 @@
         if !idle {
             return future::or(answer, read).await;
         }
-        let fresh = self.fresh;
+        let fresh = self.next == 0;
         let leave = async {
             if fresh || self.leave.recv().await.is_ok() {
                 future::pending::<()>().await;
@@ -305,7 +312,6 @@
             match command {
                 Ok((request, length)) => {
                     self.connection.buffer.consume(length);
-                    self.fresh = false;
                     self.request(request).await;
                 }
                 Err(why) => self.misread(why).await,
--- /dev/null
+++ b/crates/gateway/src/routing/handover.rs
@@ -0,0 +1,135 @@
+//! The way to the other processes of this gateway, while one takes the other's place.
+
+use std::cell::RefCell;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::Sender;
+use async_io::Timer;
+use fernscale::interface::Id;
+use fernscale_handover::core::{Change, Handover, Micros, Part, Record};
+use fernscale_handover::shell::Shell;
+use slog::{debug, info, warn};
+
+use super::operator::Order;
+use super::Shared;
+use crate::transport::clock::micros;
+
+/// Pause between two looks at the others, while there are some and while there are none: half a second is the longest
+/// that anything which two processes settle may take, as an operator's call is answered within one.
+const LOOK: Duration = Duration::from_millis(20);
+const LOOK_ALONE: Duration = Duration::from_millis(100);
+/// How long an operator's word waits until the others have heard it.
+const HEARD: Duration = Duration::from_millis(700);
+
+pub struct Link {
+    shared: Rc<Shared>,
+    orders: Sender<Order>,
+    shell: Shell,
+    core: RefCell<Handover>,
+    told: RefCell<Option<Record>>,
+}
+
+impl Link {
+    /// Takes a place among the records in the directory that the processes share, with so many descriptors for all.
+    pub fn open(
+        shared: &Rc<Shared>,
+        directory: &Path,
+        sockets: usize,
+        orders: Sender<Order>,
+    ) -> Result<Self, fernscale_handover::shell::Error> {
+        let shell = Shell::open(directory)?;
+        let core = RefCell::new(Handover::new(shell.me(), sockets));
+        let link = Link { shared: shared.clone(), orders, shell, core, told: RefCell::default() };
+        // To be seen goes first: of two that come at once, one sees the other.
+        link.tell();
+        Ok(link)
+    }
+
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.look().await;
+            let alone = self.core.borrow().alone();
+            Timer::after(if alone { LOOK_ALONE } else { LOOK }).await;
+        }
+    }
+
+    async fn look(&self) {
+        let (others, errors) = self.shell.read();
+        for error in errors {
+            warn!(self.shared.log, #"handover.refused", "what another process left is not used"; "why" => error.to_string());
+        }
+        let held = self.shared.limits.held();
+        let changes = self.core.borrow_mut().look(&others, held, now());
+        for change in changes {
+            match change {
+                Change::Out(server) => self.order(&server, true).await,
+                Change::Back(server) => self.order(&server, false).await,
+                Change::Part(part) => self.part(part).await,
+            }
+        }
+        if self.tell() {
+            // What the dead left is here now, and may go.
+            others.iter().filter(|other| !other.lives).for_each(|other| self.shell.clear(other.generation));
+        }
+    }
+
+    async fn order(&self, server: &str, on: bool) {
+        info!(self.shared.log, #"handover.word", "an operator's word, heard by another process"; "server" => server, "out" => on);
+        let _ = self.orders.send(Order::Heard { server: Id::from(server), on }).await;
+    }
+
+    async fn part(&self, part: Part) {
+        let Part { of_all, processes, sockets } = part;
+        debug!(self.shared.log, #"handover.part", "this process's part of its gateway"; "of_all" => of_all, "processes" => processes, "sockets" => sockets);
+        self.shared.limits.part(sockets, processes);
+        let _ = self.orders.send(Order::Part(of_all)).await;
+    }
+
+    /// Lets the others know what is new here; false if they can't.
+    fn tell(&self) -> bool {
+        let record = self.core.borrow().record();
+        if self.told.borrow().as_ref() == Some(&record) {
+            return true;
+        }
+        match self.shell.write(&record) {
+            Ok(()) => {
+                *self.told.borrow_mut() = Some(record);
+                true
+            }
+            Err(error) => {
+                warn!(self.shared.log, #"handover.untold", "other processes are not told"; "why" => error.to_string());
+                false
+            }
+        }
+    }
+
+    /// Tells the others of an operator's word, and waits until they have heard it; false if they have not.
+    pub async fn word(&self, server: &Id, out: bool) -> bool {
+        self.core.borrow_mut().word(server, out, now());
+        let (version, until) = (self.core.borrow().version(), Instant::now() + HEARD);
+        while !self.tell() || !self.core.borrow().heard(version) {
+            if Instant::now() >= until {
+                return false;
+            }
+            Timer::after(LOOK).await;
+        }
+        true
+    }
+
+    /// Whether all others that live know of this process.
+    pub fn settled(&self) -> bool {
+        self.core.borrow().settled()
+    }
+
+    /// No more clients come to this process.
+    pub fn ends(&self) {
+        self.core.borrow_mut().ends();
+        self.tell();
+    }
+}
+
+fn now() -> Micros {
+    micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod counter;
 pub mod figures;
+pub mod handover;
 pub mod list;
 pub mod mesh;
 pub mod module;
@@ -53,6 +54,8 @@
     pub next_wrong: Cell<Instant>,
     /// Tickets given out.
     pub tickets: Cell<u64>,
+    /// The way to the other processes of this gateway, where the clients' listening socket is passed on.
+    pub handover: OnceCell<Rc<handover::Link>>,
     /// The way to other gateways, where there is one.
     pub mesh: OnceCell<Rc<mesh::Mesh>>,
 }
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -225,16 +225,27 @@
                 let _ = told.try_send(pool);
             }
             operator::Order::Cordon { server, on, done } => {
-                let mut cordoned = self.shared.cordoned.borrow_mut();
-                let known = cordoned.contains(&server) || self.peers.contains_key(&server);
-                if known && on {
-                    cordoned.insert(server.clone());
-                    self.gateway.cordon(&server);
-                } else if cordoned.remove(&server) {
-                    self.gateway.uncordon(&server);
+                let out = self.shared.cordoned.borrow().contains(&server);
+                let known = out || self.peers.contains_key(&server);
+                if known && out != on {
+                    self.cordon(&server, on);
                 }
                 let _ = done.try_send(known);
             }
+            operator::Order::Heard { server, on } => self.cordon(&server, on),
+            operator::Order::Part(part) => self.gateway.part(part),
+        }
+    }
+
+    /// No trip begins at a server from the moment that it is taken out.
+    fn cordon(&mut self, server: &Id, on: bool) {
+        let mut cordoned = self.shared.cordoned.borrow_mut();
+        if on {
+            cordoned.insert(server.clone());
+            self.gateway.cordon(server);
+        } else {
+            cordoned.remove(server);
+            self.gateway.uncordon(server);
         }
     }
 
--- a/crates/gateway/src/routing/operator.rs
+++ b/crates/gateway/src/routing/operator.rs
@@ -38,6 +38,13 @@
         on: bool,
         done: Sender<bool>,
     },
+    /// The same, as another process of this gateway heard it.
+    Heard {
+        server: Id,
+        on: bool,
+    },
+    /// This process has so much of its gateway's ceilings and cold budgets.
+    Part(f64),
     Pool(Sender<Pool>),
 }
 
@@ -163,6 +170,11 @@
         let (done, told) = async_channel::bounded(1);
         let _ = self.orders.send(Order::Cordon { server: server.clone(), on, done }).await;
         let known = told.recv().await.unwrap_or(false);
+        if let Some(link) = self.shared.handover.get().filter(|_| known) {
+            if !link.word(&server, on).await {
+                warn!(self.shared.log, #"handover.unheard", "another process has not heard an operator's word"; "server" => &*server);
+            }
+        }
         info!(self.shared.log, #"operator.cordon", "an operator's word on a server"; "server" => &*server, "out" => on, "known" => known);
         match (known, on) {
             (false, _) => (404, format!("no server '{server}' is known\n")),
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -31,17 +31,17 @@
 #[derive(Clone)]
 pub struct Places {
     taken: Rc<Cell<usize>>,
-    most: usize,
+    most: Rc<Cell<usize>>,
 }
 
 impl Places {
     pub fn new(most: usize) -> Self {
-        Places { taken: Rc::default(), most }
+        Places { taken: Rc::default(), most: Rc::new(Cell::new(most)) }
     }
 
     pub fn take(&self, count: usize) -> Option<Place> {
         let taken = self.taken.get() + count;
-        if taken > self.most {
+        if taken > self.most.get() {
             return None;
         }
         self.taken.set(taken);
@@ -55,7 +55,7 @@
     /// Makes a place larger or smaller; false, and as it was, where there is no room for that.
     pub fn resize(&self, place: &mut Place, count: usize) -> bool {
         let taken = self.taken.get() - place.count + count;
-        if taken > self.most && count > place.count {
+        if taken > self.most.get() && count > place.count {
             return false;
         }
         self.taken.set(taken);
@@ -65,7 +65,7 @@
 
     /// At least a quarter is free.
     pub fn roomy(&self) -> bool {
-        4 * self.taken.get() <= 3 * self.most
+        4 * self.taken.get() <= 3 * self.most.get()
     }
 }
 
@@ -92,23 +92,47 @@
     /// Bytes of messages that have begun.
     pub from_clients: Places,
     pub from_servers: Places,
+    reserved: usize,
+    memory_mb: usize,
 }
 
 impl Limits {
     /// `reserved`: descriptors for what else this gateway has been told to have.
     pub fn new(sockets: usize, memory_mb: usize, reserved: usize) -> Self {
+        let limits = Limits {
+            clients: Places::new(0),
+            turned_away: Places::new(0),
+            servers: Places::new(0),
+            open: Places::new(0),
+            bytes: Places::new(0),
+            from_clients: Places::new(0),
+            from_servers: Places::new(0),
+            reserved,
+            memory_mb,
+        };
+        limits.part(sockets, 1);
+        limits
+    }
+
+    /// Goes by other limits from now on: so many descriptors, and memory shared by so many processes. What is out
+    /// beyond them stays until it is given back.
+    pub fn part(&self, sockets: usize, processes: usize) {
+        let (reserved, memory_mb) = (self.reserved, self.memory_mb / processes.max(1));
         let rest = sockets.saturating_sub(OWN + reserved);
         let servers = rest * SERVERS_TENTHS / 10;
         let turned_away = (rest - servers) * TURNED_AWAY_TENTHS / 10;
         let part = (memory_mb.saturating_sub(PROGRAM_MIB) * 1024 * 1024 / PARTS).max(MOST_MESSAGE);
-        Limits {
-            clients: Places::new(rest - servers - turned_away),
-            turned_away: Places::new(turned_away),
-            servers: Places::new(servers),
-            open: Places::new(part / RECORDS),
-            bytes: Places::new(part),
-            from_clients: Places::new(part),
-            from_servers: Places::new(part),
+        self.clients.most.set(rest - servers - turned_away);
+        self.turned_away.most.set(turned_away);
+        self.servers.most.set(servers);
+        self.open.most.set(part / RECORDS);
+        for places in [&self.bytes, &self.from_clients, &self.from_servers] {
+            places.most.set(part);
         }
     }
+
+    /// Descriptors that are taken, with those that this gateway has for itself.
+    pub fn held(&self) -> usize {
+        OWN + self.reserved + self.clients.taken() + self.turned_away.taken() + self.servers.taken()
+    }
 }
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -42,6 +42,7 @@
         stopping: Cell::new(false),
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
+        handover: Default::default(),
         mesh: Default::default(),
     })
 }
