--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -20,7 +20,7 @@
 /// Calls a second, of all gateways together, at first and at the least: few counters take less.
 const FIRST_CALLS: f64 = 400.0;
 const LEAST_CALLS: f64 = 250.0;
-/// Growth of that rate in a second, what no answer or a late one leaves, and how late, in times of the quickest.
+/// Growth of that rate in a second, what no answer or a late one leaves, and how late, by the quickest.
 const MORE_CALLS: f64 = 0.4;
 const BACK_OFF: f64 = 0.7;
 const SLOWED: f64 = 0.9;
@@ -33,12 +33,12 @@
 const STALE: Micros = 2 * SECOND;
 /// Units that a belief weighs beside as many seen: few transactions must not overturn a fraction.
 const BELIEF: f64 = 6.0;
-/// Time of one name of a count, µs: the counter's longest; less for trips out, as a lost call stays in a name.
+/// Time of one name of a count, µs: the counter's longest; less for trips out: lost calls stay in a name.
 const SPAN: Micros = 60 * SECOND;
 const OUT_SPAN: Micros = 5 * SECOND;
 /// Fades in a name: by its end a unit weighs so much more, and counters take and tell 1e9 at the most.
 const FADES: f64 = 16.0;
-/// Time in which what was offered fades, in fills of the store, and the least, µs: longer, a spike would hide.
+/// Time in which what was offered fades, in fills of the store, and the least, µs: longer, spikes hide.
 const FADE: f64 = 0.25;
 const LEAST_FADE: f64 = 1e6;
 /// Part of a burst that passes in a period where its even part holds no unit: two periods make one store.
@@ -105,8 +105,9 @@
     open: HashMap<Id, Open>,
     dues: BTreeSet<(Micros, Id)>,
     waiting: BTreeSet<(i64, Micros, Id)>,
-    /// Gateways that use a server.
+    /// Gateways that use a server, and the least cap of one.
     shared: f64,
+    least: f64,
     /// Answer time of each lane, µs: the mean of late, and what an idle fleet takes.
     usual: Vec<f64>,
     idle: Vec<f64>,
@@ -147,6 +148,7 @@
             dues: BTreeSet::new(),
             waiting: BTreeSet::new(),
             shared: 1.0,
+            least: 1.0,
             usual: settings.lanes.iter().map(|lane| USUAL * lane.agreed as f64).collect(),
             idle: vec![f64::INFINITY; settings.lanes.len()],
             carried: 0.0,
@@ -231,10 +233,9 @@
             customer.offered += settled;
             customer.store -= if within == Some(true) { settled } else { 0.0 };
         }
-        if finished {
-            self.close(&end.transaction, None);
-        } else {
-            self.go_on(&end.transaction, now);
+        match finished {
+            true => self.close(&end.transaction, None),
+            false => self.go_on(&end.transaction, now),
         }
         self.serve(now);
         self.wake(now);
@@ -295,11 +296,8 @@
             (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
             server.ready = entry.state == State::Ready;
         }
-        let warm_up = self.settings.warm_up;
-        let told = |server: &Server| server.cordoned || server.recalled.is_some_and(|at| now < at + warm_up);
-        self.servers.retain(|_, server| server.ready || server.out > 0 || told(server));
-        // Too many gateways for the servers: each takes some, in a row from its own place on, which a change of
-        // the list moves little, or all would have to be met and learnt anew.
+        self.servers.retain(|_, server| server.ready || server.out > 0 || now < server.kept);
+        // Each of too many gateways takes a row of servers from its own place, which a new list moves little.
         let ready = self.servers.iter().filter(|(_, server)| server.ready);
         let mut row: Vec<(u64, Id)> = ready.map(|(id, _)| (phase(id, Micros::MAX), id.clone())).collect();
         row.sort();
@@ -308,6 +306,7 @@
         let first = self.settings.me as usize % gateways * all / gateways;
         self.shared = ((gateways * part) as f64 / all as f64).max(1.0);
         let cap = FIRST_CAPS / self.shared;
+        self.least = (LEAST_CAPS / self.shared).min(1.0);
         for (place, (_, id)) in row.iter().enumerate() {
             let Some(server) = self.servers.get_mut(id) else { continue };
             server.mine = (place + all - first) % all < part;
@@ -320,27 +319,26 @@
 
     /// The operators leave a server out of use, whatever the list says of it.
     pub fn cordon(&mut self, server: &Id) {
-        self.servers.entry(server.clone()).or_default().cordoned = true;
         self.host.close_idle(server);
+        let server = self.servers.entry(server.clone()).or_default();
+        (server.cordoned, server.kept) = (true, Micros::MAX);
     }
 
     /// They call it back: it has been started anew meanwhile, though the list may not say so yet.
     pub fn uncordon(&mut self, server: &Id) {
-        let (now, shared) = (self.host.now(), self.shared);
-        let Some(server) = self.servers.get_mut(server) else { return };
-        (server.cordoned, server.recalled) = (false, Some(now));
+        let (now, server) = (self.host.now(), self.servers.entry(server.clone()).or_default());
+        (server.cordoned, server.recalled, server.kept) = (false, Some(now), now + self.settings.warm_up);
         // It is met at once, by some of many gateways: operators call them all at about one time.
-        let met = (FIRST_CAPS / shared).max(self.chance.gen()).min(1.0);
+        let met = (FIRST_CAPS / self.shared).max(self.chance.gen()).min(1.0);
         (server.cold, server.cold_at, server.credit, server.rests) = (met, now, 1.0, now);
     }
 
-    /// Of this gateway's ceilings and cold budgets so much is for this process; another has the rest.
+    /// This process has so much of its gateway's ceilings and cold budgets; what others had may be used up.
     pub fn part(&mut self, part: f64) {
         let now = self.host.now();
         for customer in self.customers.values_mut() {
             customer.fill(&self.settings.plans[customer.plan], self.part, now);
         }
-        // What others had until now may be used up.
         (self.part, self.born) = (part, now);
     }
 
@@ -482,24 +480,13 @@
         let (plan, chance) = (&self.settings.plans[arrived.plan], &mut self.chance);
         let (age, gateways) = (now - self.born, self.settings.gateways.max(1));
         let customer = self.customers.entry(arrived.customer.clone()).or_insert_with(|| {
-            let spread = arrived.spread.clamp(1, gateways);
-            let even = 1.0 / f64::from(spread);
-            Customer {
-                plan: arrived.plan,
-                spread: f64::from(spread),
-                // A new customer has its even share until a total is known, and its first transaction.
-                store: plan.burst * even,
-                filled: now,
-                judged: now,
-                fraction: 1.0,
-                draw: chance.gen(),
-                // Kept alone, by the even part: empty at first, as a gateway that was killed may have used it
-                // up, and no fuller than that of a customer who was forgotten.
-                ceiling: plan
-                    .ceiling
-                    .map_or(0.0, |ceiling| self.part * ceiling.rate * even * seconds(age.min(QUIET))),
-                ..Customer::default()
-            }
+            let (spread, draw) = (f64::from(arrived.spread.clamp(1, gateways)), chance.gen());
+            // Kept alone, by the even part: empty at first, as a gateway that was killed may have used it up.
+            let rate = plan.ceiling.map_or(0.0, |ceiling| self.part * ceiling.rate / spread);
+            let ceiling = rate * seconds(age.min(QUIET));
+            // A new customer has its even share until a total is known, and its first transaction.
+            let fresh = Customer { filled: now, judged: now, fraction: 1.0, draw, ..Customer::default() };
+            Customer { plan: arrived.plan, spread, store: plan.burst / spread, ceiling, ..fresh }
         });
         customer.fill(plan, self.part, now);
         customer.out += 1;
@@ -634,8 +621,7 @@
             (customer.out_span, customer.out_added) = (span, 0.0);
         }
         let amount = f64::from(customer.out) - customer.out_added;
-        // Always told: what came back, or the count would keep it for out; what is still out, to the next name
-        // as soon as that begins, or there would be room for as many again; the first in a name.
+        // Always told is what came back, what is still out to the next name, and the first in a name.
         let told = amount < 0.0 || moves || share >= 1.0;
         if amount != 0.0 && (told || self.chance.gen::<f64>() < share) {
             if amount > 0.0 {
@@ -672,16 +658,12 @@
     /// Trips out at the servers in use, and how many may be: the sum of caps, or less while all are slow.
     fn fill(&self) -> (f64, f64) {
         let sum = |sum: (f64, f64), server: &Server| (sum.0 + f64::from(server.out), sum.1 + server.cap);
-        let least = self.least_cap() * self.used().count() as f64;
-        let (out, caps) = self.used().fold((0.0, 0.0), sum);
+        let (least, (out, caps)) =
+            (self.used().count() as f64 * self.least, self.used().fold((0.0, 0.0), sum));
         // Many gateways see few answers each: what all servers show is learnt long before what each one does.
         (out, (caps * (SLOW / self.pace).min(1.0)).max(least))
     }
 
-    fn least_cap(&self) -> f64 {
-        (LEAST_CAPS / self.shared).min(1.0)
-    }
-
     /// The next server by weighted rotation among those that may have this transaction and have room.
     fn pick(&mut self, lane: usize, trips: &[Trip], now: Micros) -> Option<Id> {
         let (bound, (out, caps)) = (self.bound(lane, trips), self.fill());
@@ -705,16 +687,12 @@
             (id.clone(), speed * server.cap.min(1.0) * (1.0 - server.lost))
         };
         let chosen: Vec<(Id, f64)> = self.servers.iter().filter(fits).map(weigh).collect();
-        let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
-        let mut best: Option<(Id, f64)> = None;
-        for (id, weight) in chosen {
-            let server = self.servers.get_mut(&id).expect("chosen from these");
-            server.credit += weight / sum;
-            if best.as_ref().is_none_or(|(_, credit)| server.credit > *credit) {
-                best = Some((id, server.credit));
-            }
+        let sum = chosen.iter().map(|(_, weight)| weight).sum::<f64>().max(f64::MIN_POSITIVE);
+        for (id, weight) in &chosen {
+            self.servers.get_mut(id).expect("chosen from these").credit += weight / sum;
         }
-        best.map(|(id, _)| id)
+        let credit = |id: &Id| self.servers[id].credit;
+        chosen.into_iter().map(|(id, _)| id).rev().max_by(|one, other| credit(one).total_cmp(&credit(other)))
     }
 
     /// The servers among which a repeat of this lane is dropped.
@@ -740,7 +718,7 @@
     fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
         let lost: f64 = self.servers.values().map(|server| server.lost).sum();
         let mean = lost / self.servers.len().max(1) as f64;
-        let (took, caps, least) = (end.took as f64, self.fill().1, self.least_cap());
+        let (took, caps, least) = (end.took as f64, self.fill().1, self.least);
         // A gateway that has less than one place uses it for a part of the time.
         self.free = now + (took * (1.0 / caps.min(1.0) - 1.0)).min(SECOND as f64) as Micros;
         let Some(server) = self.servers.get_mut(&end.server) else { return };
@@ -899,7 +877,7 @@
         self.judged = now;
     }
 
-    /// A period, and the units that pass in it, for a customer of whom a gateway sees too little for an account.
+    /// A period, and the units that pass in it, for a customer of whom a gateway sees too little.
     fn thin(&self, plan: &Plan) -> Option<(Micros, f64)> {
         let limit = (THIN * plan.burst).round().max(1.0);
         let thin = plan.rate > 0.0 && self.spread > 1.0 && 2.0 * plan.burst < self.spread;
--- a/crates/fernscale/src/state.rs
+++ b/crates/fernscale/src/state.rs
@@ -15,6 +15,8 @@
     /// The operators' word: left out of use, or when it was called back, cold.
     pub cordoned: bool,
     pub recalled: Option<Micros>,
+    /// Remembered until then, whatever the list says.
+    pub kept: Micros,
     pub rating: f64,
     pub started: Option<Micros>,
     pub out: u32,
@@ -34,9 +36,9 @@
 impl Server {
     /// One that nothing is known of, whether new or started anew; what is still out there stays so.
     pub fn anew(&self, started: Option<Micros>, cold: f64, now: Micros) -> Self {
-        let Server { out, cordoned, recalled, .. } = *self;
+        let Server { out, cordoned, recalled, kept, .. } = *self;
         let fresh = Server { pace: 1.0, relative: 1.0, cold, cold_at: now, ..Server::default() };
-        Server { out, cordoned, recalled, started, ..fresh }
+        Server { out, cordoned, recalled, kept, started, ..fresh }
     }
 }
 
--- /dev/null
+++ b/crates/fernscale/tests/operations.rs
@@ -0,0 +1,131 @@
+//! What operators do: servers taken out of use and called back, and a process that takes another's place.
+
+mod common;
+
+use common::*;
+use fernscale::interface::*;
+
+/// Asks so often, 20 ms apart, answers all, and counts what went to this server.
+fn sent_to(bed: &mut Bed, server: &str, asks: usize) -> usize {
+    let mut sent = 0;
+    for _ in 0..asks {
+        bed.ask("c", 900 * MS);
+        for (id, to) in sends(&bed.did()) {
+            sent += usize::from(&*to == server);
+            bed.end(&id, 0, &to, Outcome::Ok, 20 * MS);
+        }
+        bed.pass(20 * MS);
+    }
+    sent
+}
+
+#[test]
+fn no_list_takes_a_server_back_into_use() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 4);
+    assert!(sent_to(&mut bed, "s1", 40) > 5);
+    (0..2).for_each(|_| bed.gateway.cordon(&id("s1")));
+    assert!(bed.gateway.avoids(&id("s1")) && !bed.gateway.avoids(&id("s0")));
+    assert_eq!(sent_to(&mut bed, "s1", 40), 0);
+    let entry = |state, started| [listed("s1", 1, state, started)];
+    let whole: Vec<Listed> = (0..4).map(|at| listed(&format!("s{at}"), at % 2, State::Ready, None)).collect();
+    let now = bed.now();
+    for (full, list) in [
+        (false, entry(State::Ready, None).to_vec()),
+        (false, entry(State::Ready, Some(now)).to_vec()),
+        (false, entry(State::Draining, Some(now)).to_vec()),
+        (false, entry(State::Gone, None).to_vec()),
+        (true, whole[..1].to_vec()),
+        (true, whole),
+    ] {
+        bed.gateway.list(full, &list);
+        assert_eq!(sent_to(&mut bed, "s1", 20), 0, "{full} {list:?}");
+    }
+    bed.gateway.uncordon(&id("s1"));
+    assert!(!bed.gateway.avoids(&id("s1")));
+    assert!(sent_to(&mut bed, "s1", 100) > 0);
+}
+
+#[test]
+fn a_server_called_back_is_cold_whatever_the_list_says_and_is_met_at_once() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 4);
+    let usual = sent_to(&mut bed, "s1", 100);
+    bed.gateway.cordon(&id("s1"));
+    sent_to(&mut bed, "s1", 50);
+    bed.gateway.uncordon(&id("s1"));
+    assert_eq!(sent_to(&mut bed, "s1", 1), 1);
+    // The list, late, goes on to say that it has run for long.
+    bed.gateway.list(false, &[listed("s1", 1, State::Ready, None)]);
+    let cold = sent_to(&mut bed, "s1", 99);
+    assert!((1..usual * 2 / 3).contains(&cold), "{cold} sent while cold, {usual} before");
+    bed.pass(10_000 * MS);
+    assert!(sent_to(&mut bed, "s1", 100) * 3 > usual * 2, "warm again");
+}
+
+#[test]
+fn a_repeat_does_not_go_to_the_last_server_of_its_group_that_is_out_of_use() {
+    let kind = Kind::Labelled { group: Group::Zone, memory: 60_000 * MS };
+    let mut bed = Bed::new(settings(kind, wide()), 4);
+    let asked = bed.ask("c", 60_000 * MS);
+    let first = sends(&bed.did())[0].1.clone();
+    let fellow = ["s2", "s3", "s0", "s1"][first[1..].parse::<usize>().expect("a number")];
+    bed.gateway.cordon(&id(fellow));
+    bed.end(&asked, 0, &first, Outcome::TimedOut, 100 * MS);
+    let did = bed.did();
+    assert_eq!(sends(&did), []);
+    assert_eq!(did, [Did::Abandon(asked)]);
+}
+
+/// Sends of both processes while one takes the other's place: each is told its part at the times given, in ms.
+fn overlap(plan: Plan, parts: [&[(u64, f64)]; 2], until: u64, cold: bool) -> usize {
+    let mut beds = [0, 1].map(|at| {
+        let mut bed = Bed::new(Settings { seed: at, ..settings(Kind::Redoable, plan.clone()) }, 8);
+        bed.gateway.part(parts[at as usize][0].1);
+        bed
+    });
+    let mut sent = 0;
+    for at in (0..until).step_by(20) {
+        for (bed, parts) in beds.iter_mut().zip(parts) {
+            for (_, part) in parts.iter().filter(|(when, _)| (*when..*when + 20).contains(&at)) {
+                bed.gateway.part(*part);
+            }
+            if cold && at == 2_000 {
+                let started = Some(bed.now());
+                bed.gateway.list(false, &[listed("s0", 0, State::Ready, started)]);
+            }
+            (0..4).for_each(|_| drop(bed.ask("c", 900 * MS)));
+            for (id, to) in sends(&bed.did()) {
+                sent += usize::from(!cold || at >= 2_000 && &*to == "s0");
+                bed.end(&id, 0, &to, Outcome::Ok, 10 * MS);
+            }
+            bed.pass(20 * MS);
+        }
+    }
+    sent
+}
+
+#[test]
+fn two_processes_admit_no_more_than_one_under_a_ceiling() {
+    let ceiling = Ceiling { rate: 20.0, burst: 20.0 };
+    let plan = Plan { ceiling: Some(ceiling), ..wide() };
+    // The second comes at 4 s, is known at 4.1 s, and is alone from 8 s on.
+    let sent = overlap(
+        plan.clone(),
+        [&[(0, 1.0), (4_100, 0.5)], &[(0, 0.0), (4_200, 0.5), (8_000, 1.0)]],
+        10_000,
+        false,
+    );
+    // Of two gateways that share the customer this one has a half: ten at once, and ten a second.
+    let most = 10 + 10 * 10;
+    assert!((60..=most).contains(&sent), "{sent} sent, {most} may be");
+    let both = overlap(plan, [&[(0, 1.0)], &[(0, 1.0)]], 10_000, false);
+    assert!(both > most, "without parts the two send {both}");
+}
+
+#[test]
+fn two_processes_push_a_cold_server_no_more_than_one() {
+    let one = overlap(wide(), [&[(0, 1.0)], &[(0, 0.0)]], 4_000, true);
+    let two = overlap(wide(), [&[(0, 0.5)], &[(0, 0.5)]], 4_000, true);
+    let blind = overlap(wide(), [&[(0, 1.0)], &[(0, 1.0)]], 4_000, true);
+    assert!(one > 0 && two <= one + 2, "{two} sent by two, {one} by one");
+    assert!(blind > one + 2, "without parts the two send {blind}");
+}
--- /dev/null
+++ b/crates/handover/tests/shell.rs
@@ -0,0 +1,82 @@
+//! The records in their directory: life, replacement, and leftovers that are cut short or spoilt.
+
+use std::fs;
+use std::path::Path;
+
+use fernscale_handover::core::{Handover, Record};
+use fernscale_handover::shell::Shell;
+
+fn record(server: &str) -> Record {
+    let mut core = Handover::new(1, 100);
+    core.word(server, true, 7);
+    core.record()
+}
+
+fn left(directory: &Path) -> Vec<std::path::PathBuf> {
+    let mut files: Vec<_> = fs::read_dir(directory.join("fernscale"))
+        .expect("a folder")
+        .map(|entry| entry.expect("an entry").path())
+        .collect();
+    files.sort();
+    files
+}
+
+#[test]
+fn what_one_writes_the_other_reads_and_a_lock_ends_with_its_process() {
+    let shared = tempfile::tempdir().expect("a folder");
+    let old = Shell::open(shared.path()).expect("opened");
+    let new = Shell::open(shared.path()).expect("opened");
+    assert!(new.me() > old.me());
+    old.write(&record("s0")).expect("written");
+    let (others, errors) = new.read();
+    assert!(errors.is_empty());
+    assert_eq!(others.len(), 1);
+    assert!(others[0].lives && others[0].generation == old.me());
+    assert_eq!(others[0].record, Some(record("s0")));
+    let gone = old.me();
+    drop(old);
+    let (others, _) = new.read();
+    assert!(!others[0].lives && others[0].record.is_some());
+    new.clear(gone);
+    assert!(new.read().0.is_empty());
+}
+
+#[test]
+fn leftovers_cut_short_or_spoilt_are_refused_whole_and_named() {
+    let shared = tempfile::tempdir().expect("a folder");
+    let dead = Shell::open(shared.path()).expect("opened");
+    dead.write(&record("s0")).expect("written");
+    drop(dead);
+    let file =
+        left(shared.path()).into_iter().find(|file| file.extension().is_some_and(|kind| kind == "json"));
+    let file = file.expect("a record");
+    let good = fs::read(&file).expect("read");
+    let new = Shell::open(shared.path()).expect("opened");
+    let cuts = (0..good.len() - 1).map(|length| good[..length].to_vec());
+    let flips = (0..good.len() - 1).map(|at| {
+        let mut bytes = good.clone();
+        bytes[at] ^= 0x04;
+        bytes
+    });
+    for bytes in cuts.chain(flips).chain([vec![0xff; 64], vec![b'x'; 2_000_000]]) {
+        fs::write(&file, &bytes).expect("written");
+        let (others, errors) = new.read();
+        assert!(
+            others.iter().all(|other| other.record.is_none()),
+            "{:?}",
+            String::from_utf8_lossy(&bytes[..bytes.len().min(99)])
+        );
+        assert!(errors.len() == 1 && errors[0].to_string().contains(".json"));
+    }
+    fs::write(&file, &good).expect("written");
+    assert_eq!(new.read().0[0].record, Some(record("s0")));
+}
+
+#[test]
+fn a_directory_that_can_not_be_used_is_an_error_that_names_it() {
+    let shared = tempfile::tempdir().expect("a folder");
+    let file = shared.path().join("file");
+    fs::write(&file, "x").expect("written");
+    let error = Shell::open(&file).expect_err("no folder");
+    assert!(error.to_string().contains("fernscale"), "{error}");
+}
