Upgrades under load, words at both processes and a wrong descriptor have tests as processes

Cause found by one of them: a passed descriptor that is not open was owned and closed, which aborts. Change: the descriptor is only asked about until it is known to listen.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -3,3 +3,4 @@
 mod end_to_end;
 mod operator;
 mod process;
+mod upgrade;
--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -333,6 +333,11 @@
 
     /// The next reply: the line of it, or its value. Empty if the connection has ended.
     pub fn read(&mut self) -> String {
+        self.try_read().unwrap_or_default()
+    }
+
+    /// The same; none if the connection has ended.
+    fn try_read(&mut self) -> Option<String> {
         let mut part = [0; 4096];
         loop {
             if let Some((reply, length)) = resp::reply(&self.bytes).expect("a reply in good form") {
@@ -341,17 +346,31 @@
                     _ => String::from_utf8_lossy(&self.bytes[..length - 2]).into_owned(),
                 };
                 self.bytes.drain(..length);
-                return text;
+                return Some(text);
             }
             match self.stream.read(&mut part) {
-                Ok(0) => return String::new(),
+                Ok(0) => return None,
                 Ok(count) => self.bytes.extend_from_slice(&part[..count]),
-                Err(error) if error.kind() == ErrorKind::ConnectionReset => return String::new(),
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => return None,
                 Err(error) => panic!("no reply: {error}"),
             }
         }
     }
 
+    /// The answer; none if the connection ends under the command.
+    pub fn try_ask(&mut self, bytes: &[u8]) -> Option<String> {
+        self.stream.write_all(bytes).ok()?;
+        self.try_read()
+    }
+
+    /// Whether the gateway has ended the connection.
+    pub fn ended(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("set");
+        let looked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false).expect("set");
+        !matches!(looked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     pub fn ask(&mut self, bytes: &[u8]) -> String {
         self.write(bytes);
         self.read()
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt::Display;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::{FromRawFd, OwnedFd, RawFd};
+use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -164,13 +164,15 @@
     let failed = |why: &dyn Display| {
         format!("{PASSED} names descriptor {number}, which is no listening socket: {why}")
     };
-    // SAFETY: nothing else in this process knows of the descriptor, which is taken once, at the start, before any other
-    // is opened here that could have its number.
-    let socket = unsafe { OwnedFd::from_raw_fd(number) };
-    let listens = rustix::net::sockopt::socket_acceptconn(&socket).map_err(|error| failed(&error))?;
+    // SAFETY: it is only asked about, and may be any descriptor or none.
+    let asked = unsafe { BorrowedFd::borrow_raw(number) };
+    let listens = rustix::net::sockopt::socket_acceptconn(asked).map_err(|error| failed(&error))?;
     if !listens {
         return Err(failed(&"it does not listen"));
     }
+    // SAFETY: it is open and listens; this process has opened no listener yet, so that nothing else here owns it, and it
+    // is taken once.
+    let socket = unsafe { OwnedFd::from_raw_fd(number) };
     Async::new(TcpListener::from(socket)).map_err(|error| failed(&error))
 }
 
--- a/crates/gateway/src/protocol/operator.rs
+++ b/crates/gateway/src/protocol/operator.rs
@@ -69,18 +69,19 @@
         }
     }
     let path = path.split('?').next().unwrap_or_default();
-    let (wanted, posts): (&str, Option<fn(Id) -> Call>) = match path {
-        "/admin/health" | "/admin/stats" => ("GET", None),
-        "/admin/cordon" => ("POST", Some(Call::Cordon)),
-        "/admin/uncordon" => ("POST", Some(Call::Uncordon)),
+    let wanted = match path {
+        "/admin/health" | "/admin/stats" => "GET",
+        "/admin/cordon" | "/admin/uncordon" => "POST",
         _ => return refused(404, "no such path; there are /admin/health, stats, cordon, uncordon"),
     };
     if method != wanted {
         return refused(405, format!("{path} takes {wanted}"));
     }
-    let Some(posts) = posts else {
-        return Ok(Some(if path == "/admin/health" { Call::Health } else { Call::Stats }));
-    };
+    match path {
+        "/admin/health" => return Ok(Some(Call::Health)),
+        "/admin/stats" => return Ok(Some(Call::Stats)),
+        _ => {}
+    }
     let Some(length) = length else { return refused(411, "the body has to have a Content-Length") };
     if length > MOST_BODY {
         return refused(413, "the body is too long for an id");
@@ -93,7 +94,8 @@
     if id.chars().any(char::is_control) {
         return refused(400, "the id has control characters");
     }
-    Ok(Some(posts(Id::from(id))))
+    let server = Id::from(id);
+    Ok(Some(if path == "/admin/cordon" { Call::Cordon(server) } else { Call::Uncordon(server) }))
 }
 
 /// A whole answer, after which the connection ends.
