A server called back before an upgrade is warm as soon as it would have been

Cause: the new process took each server that it heard was called back for cold from then on, up to a minute after the call. Change: the word carries its time, and the module is told it.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -324,10 +324,10 @@
         (server.cordoned, server.kept) = (true, Micros::MAX);
     }
 
-    /// They call it back: it has been started anew meanwhile, though the list may not say so yet.
-    pub fn uncordon(&mut self, server: &Id) {
+    /// They called it back then: it has been started anew meanwhile, though the list may not say so yet.
+    pub fn uncordon(&mut self, server: &Id, at: Micros) {
         let (now, server) = (self.host.now(), self.servers.entry(server.clone()).or_default());
-        (server.cordoned, server.recalled, server.kept) = (false, Some(now), now + self.settings.warm_up);
+        (server.cordoned, server.recalled, server.kept) = (false, Some(at), at + self.settings.warm_up);
         // It is met at once, by some of many gateways: operators call them all at about one time.
         let met = (FIRST_CAPS / self.shared).max(self.chance.gen()).min(1.0);
         (server.cold, server.cold_at, server.credit, server.rests) = (met, now, 1.0, now);
--- a/crates/fernscale/tests/operations.rs
+++ b/crates/fernscale/tests/operations.rs
@@ -40,7 +40,8 @@
         bed.gateway.list(full, &list);
         assert_eq!(sent_to(&mut bed, "s1", 20), 0, "{full} {list:?}");
     }
-    bed.gateway.uncordon(&id("s1"));
+    let now = bed.now();
+    bed.gateway.uncordon(&id("s1"), now);
     assert!(!bed.gateway.avoids(&id("s1")));
     assert!(sent_to(&mut bed, "s1", 100) > 0);
 }
@@ -51,7 +52,8 @@
     let usual = sent_to(&mut bed, "s1", 100);
     bed.gateway.cordon(&id("s1"));
     sent_to(&mut bed, "s1", 50);
-    bed.gateway.uncordon(&id("s1"));
+    let now = bed.now();
+    bed.gateway.uncordon(&id("s1"), now);
     assert_eq!(sent_to(&mut bed, "s1", 1), 1);
     // The list, late, goes on to say that it has run for long.
     bed.gateway.list(false, &[listed("s1", 1, State::Ready, None)]);
--- a/crates/gateway/src/routing/handover.rs
+++ b/crates/gateway/src/routing/handover.rs
@@ -64,8 +64,8 @@
         let changes = self.core.borrow_mut().look(&others, held, now());
         for change in changes {
             match change {
-                Change::Out(server) => self.order(&server, true).await,
-                Change::Back(server) => self.order(&server, false).await,
+                Change::Out(server) => self.order(&server, None).await,
+                Change::Back(server, at) => self.order(&server, Some(at)).await,
                 Change::Part(part) => self.part(part).await,
             }
         }
@@ -75,9 +75,10 @@
         }
     }
 
-    async fn order(&self, server: &str, on: bool) {
-        info!(self.shared.log, #"handover.word", "an operator's word, heard by another process"; "server" => server, "out" => on);
-        let _ = self.orders.send(Order::Heard { server: Id::from(server), on }).await;
+    async fn order(&self, server: &str, back: Option<Micros>) {
+        let out = back.is_none();
+        info!(self.shared.log, #"handover.word", "an operator's word, heard by another process"; "server" => server, "out" => out);
+        let _ = self.orders.send(Order::Heard { server: Id::from(server), back }).await;
     }
 
     async fn part(&self, part: Part) {
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -228,24 +228,28 @@
                 let out = self.shared.cordoned.borrow().contains(&server);
                 let known = out || self.peers.contains_key(&server);
                 if known && out != on {
-                    self.cordon(&server, on);
+                    let now = self.desk.borrow().now;
+                    self.cordon(&server, Some(now).filter(|_| !on));
                 }
                 let _ = done.try_send(known);
             }
-            operator::Order::Heard { server, on } => self.cordon(&server, on),
+            operator::Order::Heard { server, back } => self.cordon(&server, back),
             operator::Order::Part(part) => self.gateway.part(part),
         }
     }
 
     /// No trip begins at a server from the moment that it is taken out.
-    fn cordon(&mut self, server: &Id, on: bool) {
+    fn cordon(&mut self, server: &Id, back: Option<Micros>) {
         let mut cordoned = self.shared.cordoned.borrow_mut();
-        if on {
-            cordoned.insert(server.clone());
-            self.gateway.cordon(server);
-        } else {
-            cordoned.remove(server);
-            self.gateway.uncordon(server);
+        match back {
+            None => {
+                cordoned.insert(server.clone());
+                self.gateway.cordon(server);
+            }
+            Some(at) => {
+                cordoned.remove(server);
+                self.gateway.uncordon(server, at);
+            }
         }
     }
 
--- a/crates/gateway/src/routing/operator.rs
+++ b/crates/gateway/src/routing/operator.rs
@@ -8,7 +8,7 @@
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
-use fernscale::interface::Id;
+use fernscale::interface::{Id, Micros};
 use futures_lite::{future, StreamExt};
 use slog::{info, warn};
 
@@ -38,10 +38,10 @@
         on: bool,
         done: Sender<bool>,
     },
-    /// The same, as another process of this gateway heard it.
+    /// The same, as another process of this gateway heard it: out of use, or called back at that time.
     Heard {
         server: Id,
-        on: bool,
+        back: Option<Micros>,
     },
     /// This process has so much of its gateway's ceilings and cold budgets.
     Part(f64),
--- a/crates/handover/src/core.rs
+++ b/crates/handover/src/core.rs
@@ -66,7 +66,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     Out(String),
-    Back(String),
+    /// Called back at that time: cold from then on.
+    Back(String, Micros),
     Part(Part),
 }
 
@@ -159,7 +160,11 @@
             {
                 continue;
             }
-            changes.push(if word.out { Change::Out(server.clone()) } else { Change::Back(server.clone()) });
+            changes.push(if word.out {
+                Change::Out(server.clone())
+            } else {
+                Change::Back(server.clone(), word.at)
+            });
             self.words.insert(server.clone(), *word);
             self.version += 1;
         }
--- a/crates/handover/tests/schedules.rs
+++ b/crates/handover/tests/schedules.rs
@@ -52,7 +52,7 @@
         for change in process.core.look(&others, process.held, self.now) {
             match change {
                 Change::Out(server) => drop(process.out.insert(server, true)),
-                Change::Back(server) => drop(process.out.insert(server, false)),
+                Change::Back(server, _) => drop(process.out.insert(server, false)),
                 Change::Part(part) => process.part = part,
             }
         }
