--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -79,7 +79,7 @@
 const LEAST_QUEUE: f64 = 2.0;
 const HOLD: f64 = 0.25;
 /// Share of a cold server's budget that is used: the rest is for what other gateways can't see.
-const COLD_USE: f64 = 0.25;
+const COLD_USE: f64 = 0.4;
 /// Share of trips lost from which a server's are given up after so many usual answer times: two in twenty.
 const LOSSY: f64 = 0.08;
 const LOST: f64 = 7.0;
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -36,8 +36,8 @@
 const FAILED: Duration = Duration::from_millis(100);
 
 /// How long a client may take from connecting, or from the first byte of a command, to that command's end: one that
-/// says nothing, or half of it, is told so. Many of them must not keep others out.
-const SAYS_NOTHING: Duration = Duration::from_secs(2);
+/// says nothing, or half of it, is told so. Many of them must not keep others out; some that mean well take two seconds.
+const SAYS_NOTHING: Duration = Duration::from_millis(2_600);
 /// Commands of one connection that make no sense, beyond which it ends: each costs as much as one that does.
 const MOST_WRONG: u32 = 16;
 /// Bytes that are still taken from a client that was told of an error, and the first pause between two reads of them,
