Values over 64 KiB are passed on as they come, in bounded pieces

Need: values reach 4 MiB; a value of more than 64 KiB was taken for a spoilt answer, tried elsewhere and given up. Change: `came` knows the head of a long value, once 4 KiB of it are there; the trip's task passes pieces of 16 KiB through a channel with room for one to the client's task; the value's own line end is held until the server's has come. Counted as ok once written whole, as an error where it breaks off.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The gateway as a process among small servers, a list and a counter: one test for each failure found or feared.
 
 mod end_to_end;
+mod large;
 mod operator;
 mod process;
 mod upgrade;
--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -34,6 +34,20 @@
     /// Adds something to a good answer that does not belong to it: at once, and some thousandths of a second later.
     Behind(&'static str),
     Copy,
+    /// A value of so many bytes, with a pause in ms in its middle.
+    Large {
+        length: usize,
+        pause: u64,
+    },
+    /// A value said to have so many bytes that breaks off, or stops, there.
+    Cut {
+        length: usize,
+        at: usize,
+    },
+    /// A value with something else than a line end behind it.
+    LineEnd {
+        length: usize,
+    },
     /// Serves the first call of a connection and breaks under the second.
     ServeOnce,
 }
@@ -115,6 +129,23 @@
                     write(served.as_bytes())
                 }
                 Does::ServeOnce => served_here == 1 && write(served.as_bytes()),
+                Does::Large { length, pause } => {
+                    let half = vec![b'v'; length / 2];
+                    write(format!("*3\r\n${length}\r\n").as_bytes()) && write(&half) && {
+                        thread::sleep(Duration::from_millis(pause));
+                        write(&half) && write(b"\r\n$6\r\ncost=1\r\n$-1\r\n")
+                    }
+                }
+                Does::Cut { length, at } => {
+                    write(format!("*3\r\n${length}\r\n").as_bytes());
+                    write(&vec![b'v'; at]);
+                    // What has hardly begun stays open; a part of a value ends.
+                    at < 1_000
+                }
+                Does::LineEnd { length } => {
+                    write(format!("*3\r\n${length}\r\n").as_bytes());
+                    write(&vec![b'v'; length]) && write(b"vv$-1\r\n$-1\r\n")
+                }
                 Does::Full => write(b"-BUSY\r\n"),
                 Does::Fail => write(b"-ERR failed\r\n"),
                 Does::Garble => write(b"?what\r\n"),
--- a/crates/gateway/src/protocol/call.rs
+++ b/crates/gateway/src/protocol/call.rs
@@ -5,7 +5,7 @@
 use fernscale::interface::{Id, Load, Micros, Transaction};
 use fernscale::settings::{self, Outside};
 
-use super::resp::{self, write_bulk, write_command, Reply};
+use super::resp::{self, write_bulk, write_command, Opening, Reply};
 use super::Scanned;
 
 /// What a client asks of a gateway.
@@ -41,11 +41,20 @@
 /// What a server said to a transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
-    Settled { value: Box<[u8]>, units: Option<f64> },
+    Settled {
+        value: Box<[u8]>,
+        units: Option<f64>,
+    },
+    /// Its value has been passed on as it came.
+    Passed {
+        units: Option<f64>,
+    },
     Failed,
     Full,
 }
 
+/// Bytes of a long value that have to be there before any is passed on: more than a spoilt answer of usual size has.
+const EVIDENCE: usize = 4 * 1024;
 const GET: &[u8] = b"CALL.GET";
 const POST: &[u8] = b"CALL.POST";
 
@@ -203,17 +212,57 @@
     }
 }
 
+/// What has come of a server's reply.
+pub enum Came {
+    Whole((Said, Load)),
+    Opens(Opening),
+}
+
+/// As `said`; of a value too long to be kept whole the head is enough, once some of the value is there too. Danger: a
+/// spoilt length. Once a value is being passed on, nobody else can be asked for it.
+pub fn came(bytes: &[u8], ended: bool, names: &[String]) -> Scanned<Came> {
+    match resp::opening(bytes)? {
+        Some((opening, start)) if bytes.len() >= start + EVIDENCE => Ok(Some((Came::Opens(opening), start))),
+        Some(_) => Ok(None),
+        None => Ok(said(bytes, ended, names)?.map(|(said, length)| (Came::Whole(said), length))),
+    }
+}
+
+/// What stands behind a value that has been passed on: its line end, and the rest of the array. Where only the former
+/// can be read, the value goes without the rest.
+pub fn behind(bytes: &[u8], rest: usize, ended: bool, names: &[String]) -> Scanned<(Said, Load)> {
+    let plain = (Said::Passed { units: None }, Load::default());
+    match bytes {
+        [b'\r', b'\n', behind @ ..] => match resp::items(behind, rest) {
+            Ok(Some((items, length))) => {
+                let (units, load) = report(&items, names);
+                Ok(Some(((Said::Passed { units }, load), length + 2)))
+            }
+            Ok(None) if !ended => Ok(None),
+            _ => Ok(Some((plain, bytes.len()))),
+        },
+        [] | [b'\r'] if !ended => Ok(None),
+        _ => Err("a value does not end where it should"),
+    }
+}
+
+/// The units and the load, from what stands behind a value.
+fn report(items: &[Reply], names: &[String]) -> (Option<f64>, Load) {
+    let text = |at: usize| match items.get(at) {
+        Some(Reply::Bulk(Some(text))) => std::str::from_utf8(text).unwrap_or_default(),
+        _ => "",
+    };
+    let cost = fields(text(0)).find(|(name, _)| *name == "cost");
+    let units = cost.and_then(|(_, value)| value.parse().ok()).filter(|units| *units > 0.0);
+    (units, load(text(1), names))
+}
+
 fn meaning(reply: &Reply, names: &[String]) -> Result<(Said, Load), &'static str> {
     match reply {
         Reply::Array(Some(items)) => {
             let Some(Reply::Bulk(Some(value))) = items.first() else { return Err("no value in an answer") };
-            let text = |at: usize| match items.get(at) {
-                Some(Reply::Bulk(Some(text))) => std::str::from_utf8(text).unwrap_or_default(),
-                _ => "",
-            };
-            let cost = fields(text(1)).find(|(name, _)| *name == "cost");
-            let units = cost.and_then(|(_, value)| value.parse().ok()).filter(|units| *units > 0.0);
-            Ok((Said::Settled { value: (*value).into(), units }, load(text(2), names)))
+            let (units, load) = report(&items[1..], names);
+            Ok((Said::Settled { value: (*value).into(), units }, load))
         }
         Reply::Error(line) => {
             let line = std::str::from_utf8(line).unwrap_or_default();
--- a/crates/gateway/src/protocol/resp.rs
+++ b/crates/gateway/src/protocol/resp.rs
@@ -2,8 +2,10 @@
 
 use super::Scanned;
 
-/// Longest bulk string: the largest value there is.
+/// Longest bulk string that is kept whole.
 pub const MOST_BULK: usize = 64 * 1024;
+/// Longest value, which is passed on as it comes.
+pub const MOST_VALUE: usize = 4 * 1024 * 1024;
 /// Most items in an array, and arrays in arrays: no message has more than half as many.
 const MOST_ITEMS: usize = 16;
 const MOST_DEPTH: usize = 4;
@@ -65,6 +67,42 @@
     Ok(bulk(bytes, at)?.and_then(|(value, end)| Some((value?, end))))
 }
 
+/// The head of an array whose first item is a bulk string too long to be kept whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opening {
+    pub items: usize,
+    /// Bytes of the first item.
+    pub length: usize,
+}
+
+/// Such a head as soon as it has come; where the first item is none, `None` for good.
+pub fn opening(bytes: &[u8]) -> Scanned<Opening> {
+    if !matches!(bytes, [b'*', ..]) {
+        return Ok(None);
+    }
+    let Some((Some(items @ 1..=MOST_ITEMS), at)) = length(bytes, 0)? else { return Ok(None) };
+    if !matches!(bytes.get(at), Some(b'$')) {
+        return Ok(None);
+    }
+    match length(bytes, at)? {
+        Some((Some(length @ MOST_BULK..=MOST_VALUE), start)) if length > MOST_BULK => {
+            Ok(Some((Opening { items, length }, start)))
+        }
+        _ => Ok(None),
+    }
+}
+
+/// So many items that stand one behind another.
+pub fn items(bytes: &[u8], count: usize) -> Scanned<Vec<Reply<'_>>> {
+    let (mut items, mut at) = (Vec::with_capacity(count.min(MOST_ITEMS)), 0);
+    for _ in 0..count {
+        let Some((next, end)) = item(bytes, at, 1)? else { return Ok(None) };
+        items.push(next);
+        at = end;
+    }
+    Ok(Some((items, at)))
+}
+
 fn item(bytes: &[u8], at: usize, depth: usize) -> Scanned<Reply<'_>> {
     let Some(kind) = bytes.get(at) else { return Ok(None) };
     Ok(match kind {
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -13,7 +13,7 @@
 use slog::{debug, warn};
 
 use super::figures::Result as Figure;
-use super::{Asked, Event, Places, Reply, Shared};
+use super::{Asked, Event, Final, Flow, Piece, Places, Reply, Shared};
 use crate::protocol::call::{self, Answer, Request};
 use crate::protocol::resp;
 use crate::transport::buffer::Buffer;
@@ -160,12 +160,18 @@
     }
 }
 
+/// An answer in the form in which it is written.
+enum Written {
+    Whole(Vec<u8>),
+    Flow(Flow),
+}
+
 /// A command that has come and is not answered yet; answers go out in the order of the commands.
 struct Waiting {
     number: u64,
     /// The transaction, as long as it has no answer.
     open: Option<(Id, u64)>,
-    answer: Option<(Vec<u8>, Option<Places>)>,
+    answer: Option<(Written, Option<Places>)>,
     /// The lane, and under what its answer is counted once it is written.
     figure: Option<(usize, Figure)>,
 }
@@ -178,8 +184,8 @@
     evict: Sender<()>,
     evicted: Receiver<()>,
     leave: Receiver<()>,
-    answered: Sender<(u64, Answer, Places)>,
-    answers: Receiver<(u64, Answer, Places)>,
+    answered: Sender<(u64, Final, Places)>,
+    answers: Receiver<(u64, Final, Places)>,
     waiting: VecDeque<Waiting>,
     next: u64,
     /// False where there is only room to turn it away.
@@ -192,7 +198,7 @@
 }
 
 enum Step {
-    Answer(u64, Answer, Places),
+    Answer(u64, Final, Places),
     Read(Result<(), Ending>),
     Leave(Ending),
 }
@@ -239,8 +245,12 @@
                 Step::Answer(number, answer, places) => {
                     if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.number == number) {
                         waiting.open = None;
-                        waiting.figure = waiting.figure.map(|(lane, _)| (lane, Figure::of(&answer)));
-                        waiting.answer = Some((answer.write(), Some(places)));
+                        let (written, result) = match answer {
+                            Final::Whole(answer) => (Written::Whole(answer.write()), Figure::of(&answer)),
+                            Final::Flow(flow) => (Written::Flow(flow), Figure::Settled),
+                        };
+                        waiting.figure = waiting.figure.map(|(lane, _)| (lane, result));
+                        waiting.answer = Some((written, Some(places)));
                     }
                 }
                 Step::Read(Ok(())) => {}
@@ -363,7 +373,12 @@
     fn say(&mut self, answer: Vec<u8>, figure: Option<(usize, Figure)>) {
         let number = self.next;
         self.next += 1;
-        self.waiting.push_back(Waiting { number, open: None, answer: Some((answer, None)), figure });
+        self.waiting.push_back(Waiting {
+            number,
+            open: None,
+            answer: Some((Written::Whole(answer), None)),
+            figure,
+        });
     }
 
     /// Waits until it is this client's turn to hear that it asked wrongly. It makes room for others, if need be.
@@ -395,19 +410,40 @@
     /// Writes the answers that are next in order.
     async fn write(&mut self) -> Result<(), Ending> {
         while self.waiting.front().is_some_and(|waiting| waiting.answer.is_some()) {
-            let Some(Waiting { answer: Some((bytes, places)), figure, .. }) = self.waiting.pop_front() else {
+            let Some(Waiting { answer: Some((answer, places)), figure, .. }) = self.waiting.pop_front()
+            else {
                 break;
             };
-            let until = Instant::now() + UNREAD;
-            within(until, Ending::Silent, self.connection.write(&bytes)).await?;
+            let written = match answer {
+                Written::Whole(bytes) => self.put(&bytes).await,
+                Written::Flow(flow) => self.pass_on(flow).await,
+            };
             if let Some((lane, result)) = figure {
-                self.shared.figures.answered(lane, result);
+                self.shared.figures.answered(lane, if written.is_ok() { result } else { Figure::Failed });
             }
+            written?;
             drop::<Option<[Place; 2]>>(places);
         }
         Ok(())
     }
 
+    async fn put(&mut self, bytes: &[u8]) -> Result<(), Ending> {
+        let until = Instant::now() + UNREAD;
+        within(until, Ending::Silent, self.connection.write(bytes)).await
+    }
+
+    /// Writes a long value as its pieces come. Where it breaks off, so does the connection, and the client can tell.
+    async fn pass_on(&mut self, flow: Flow) -> Result<(), Ending> {
+        self.put(format!("${}\r\n", flow.length).as_bytes()).await?;
+        while let Ok(piece) = flow.pieces.recv().await {
+            match piece {
+                Piece::Bytes(bytes) => self.put(&bytes).await?,
+                Piece::End => return self.put(b"\r\n").await,
+            }
+        }
+        Err(Ending::Broken)
+    }
+
     /// Bytes that are never read would take the error from the client, as the connection is then reset.
     async fn linger(&mut self) {
         let (until, mut taken, mut pause) = (Instant::now() + LINGER, 0, LINGER_PAUSE);
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use fernscale::interface::{Id, Load, Micros};
 use fernscale::settings::Outside;
@@ -72,6 +72,12 @@
     Asked(Asked),
     /// The client has gone that asked for this under this ticket.
     Dropped(Id, u64),
+    /// The answer has begun to come, and is too long to be kept whole.
+    Flowing {
+        transaction: Id,
+        trip: usize,
+        flow: Flow,
+    },
     Returned(Return),
     Probed {
         server: Id,
@@ -106,10 +112,28 @@
     /// Tells apart those who use one id, as only one of them has it.
     pub ticket: u64,
     pub number: u64,
-    pub to: Sender<(u64, Answer, Places)>,
+    pub to: Sender<(u64, Final, Places)>,
     pub places: Places,
 }
 
+/// The final answer to a client.
+pub enum Final {
+    Whole(Answer),
+    Flow(Flow),
+}
+
+/// A value that is passed on as it comes. Where its pieces end without the last word, it has broken off.
+pub struct Flow {
+    pub length: usize,
+    pub pieces: Receiver<Piece>,
+}
+
+pub enum Piece {
+    Bytes(Vec<u8>),
+    /// The value has come whole.
+    End,
+}
+
 /// A place among the transactions that are open, and one for the bytes of it.
 pub type Places = [Place; 2];
 
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -17,7 +17,7 @@
 use super::counter::Add;
 use super::figures::Pool;
 use super::outcome::{self, Lost, Told};
-use super::{list, operator, peer, Asked, Event, Reply, Return, Shared};
+use super::{list, operator, peer, Asked, Event, Final, Reply, Return, Shared};
 use crate::protocol::call::{Answer, Call, Said};
 use crate::protocol::catalog::Members;
 use crate::transport::clock::Alarm;
@@ -269,6 +269,12 @@
                     self.forget(&id);
                 }
             }
+            Event::Flowing { transaction, trip, flow } => {
+                if let Some(reply) = self.held.get_mut(&transaction).and_then(|held| held.reply.take()) {
+                    finish(reply, Final::Flow(flow));
+                    self.gateway.flowing(&transaction, trip);
+                }
+            }
             Event::Returned(end) => self.returned(end),
             Event::Probed { server, end } => {
                 let outcome = outcome::of_probe(&end);
@@ -317,11 +323,15 @@
         let (mut units, mut load) = (None, Load::default());
         if let Ok((said, told)) = end.end {
             load = told;
-            if let Said::Settled { value, units: settled } = said {
-                units = settled;
-                if let Some(reply) = held.reply.take() {
-                    answer(reply, Answer::Settled(value));
+            match said {
+                Said::Settled { value, units: settled } => {
+                    units = settled;
+                    if let Some(reply) = held.reply.take() {
+                        answer(reply, Answer::Settled(value));
+                    }
                 }
+                Said::Passed { units: settled } => units = settled,
+                Said::Failed | Said::Full => {}
             }
         }
         let finished = held.reply.is_none();
@@ -511,6 +521,10 @@
 
 /// A client that has gone by now hears nothing.
 fn answer(reply: Reply, answer: Answer) {
+    finish(reply, Final::Whole(answer));
+}
+
+fn finish(reply: Reply, last: Final) {
     let Reply { number, to, places, .. } = reply;
-    let _ = to.try_send((number, answer, places));
+    let _ = to.try_send((number, last, places));
 }
--- a/crates/gateway/src/routing/outcome.rs
+++ b/crates/gateway/src/routing/outcome.rs
@@ -46,7 +46,7 @@
 
 pub fn of_trip<T>(end: &Result<(Said, T), Lost>) -> Outcome {
     match end {
-        Ok((Said::Settled { .. }, _)) => Outcome::Ok,
+        Ok((Said::Settled { .. } | Said::Passed { .. }, _)) => Outcome::Ok,
         Ok((Said::Failed, _)) => Outcome::Error,
         Ok((Said::Full, _)) => Outcome::Full,
         Err(lost) => lost.outcome(),
--- a/crates/gateway/src/routing/peer.rs
+++ b/crates/gateway/src/routing/peer.rs
@@ -14,9 +14,9 @@
 use futures_lite::{future, StreamExt};
 
 use super::outcome::Lost;
-use super::{Event, Return, Shared, MOST_ORDERS};
-use crate::protocol::call::{self, Call};
-use crate::protocol::resp::{self, Reply};
+use super::{Event, Flow, Piece, Return, Shared, MOST_ORDERS};
+use crate::protocol::call::{self, Call, Came, Said};
+use crate::protocol::resp::{self, Opening, Reply};
 use crate::protocol::Scanned;
 use crate::transport::buffer::Buffer;
 use crate::transport::clock::{micros, Alarm};
@@ -35,6 +35,9 @@
 /// on the way forgets them sooner than the site says: from then on they are kept for this part of that time at most,
 /// and for so much longer with each answer. Then new ones are dialled more often, which costs the server a little.
 const CUT: u32 = 2;
+/// How long a server that gives a long value may give no byte of it: it has its client with it, and is not cut off while
+/// anything comes.
+const STALLED: Duration = Duration::from_secs(10);
 const REGAINED: Duration = Duration::from_millis(2);
 
 pub enum Order {
@@ -165,10 +168,19 @@
     async fn trip(self: Rc<Self>, call: Rc<Call>, trip: usize, limit: Micros, made: Instant) {
         let until = made + Duration::from_micros(limit);
         let command = call.command(limit);
-        let sent = || self.shared.figures.tried();
-        let end = self.exchange(&command, until, sent, |bytes, ended| call::said(bytes, ended, self.load()));
-        let end = end.await;
         let transaction = call.transaction.id.clone();
+        let sent = || self.shared.figures.tried();
+        let came = self.exchange(&command, until, sent, |bytes, ended| call::came(bytes, ended, self.load()));
+        let end = match came.await {
+            Ok((Came::Whole(said), connection)) => {
+                self.keep(connection);
+                Ok(said)
+            }
+            Ok((Came::Opens(opening), connection)) => {
+                self.pass_on(opening, connection, transaction.clone(), trip).await
+            }
+            Err(lost) => Err(lost),
+        };
         if let Some((task, _)) = self.trips.borrow_mut().remove(&(transaction.clone(), trip)) {
             task.detach();
         }
@@ -185,14 +197,61 @@
             Some(_) => Err("no good word"),
             None => Ok(None),
         };
-        self.exchange(&command, until, || {}, said).await
+        let (load, connection) = self.exchange(&command, until, || {}, said).await?;
+        self.keep(connection);
+        Ok(load)
     }
 
     fn load(&self) -> &[String] {
         &self.shared.outside.load
     }
 
-    /// Has a command answered on a connection of its own. `sent` is called once its last byte is written; `scan` is
+    /// Passes a long value on as it comes, and reads what stands behind it.
+    async fn pass_on(
+        &self,
+        opening: Opening,
+        mut connection: Connection,
+        transaction: Id,
+        trip: usize,
+    ) -> Result<(Said, Load), Lost> {
+        let (pass, pieces) = async_channel::bounded(1);
+        let flow = Flow { length: opening.length, pieces };
+        drop(self.events.send(Event::Flowing { transaction, trip, flow }).await);
+        let given_up = |_| Lost::unanswered(Ending::GivenUp);
+        let mut left = opening.length;
+        while left > 0 {
+            let until = Instant::now() + STALLED;
+            let piece =
+                within(until, Ending::Stalled, connection.piece(left)).await.map_err(Lost::unanswered)?;
+            left -= piece.len();
+            // The client's task takes it when it has written the last: so a slow client holds the server back.
+            pass.send(Piece::Bytes(piece)).await.map_err(given_up)?;
+        }
+        let (rest, until) = (opening.items - 1, Instant::now() + STALLED);
+        let piece = Duration::from_micros(self.shared.outside.dial);
+        // The value is whole as soon as its line end is there, and its client does not wait for what is behind that.
+        let line_end = |bytes: &[u8]| match bytes {
+            [b'\r', b'\n', ..] => Ok(Some(((), 0))),
+            [] | [b'\r'] => Ok(None),
+            _ => Err("a value does not end where it should"),
+        };
+        connection.message(line_end, until, STALLED).await.map_err(Lost::unanswered)?;
+        pass.send(Piece::End).await.map_err(given_up)?;
+        drop(pass);
+        let scan = |bytes: &[u8]| call::behind(bytes, rest, false, self.load());
+        match connection.message(scan, Instant::now() + piece, piece).await {
+            Ok(said) => {
+                self.keep(connection);
+                Ok(said)
+            }
+            Err(how) => match call::behind(connection.buffer.filled(), rest, true, self.load()) {
+                Ok(Some((said, _))) => Ok(said),
+                _ => Err(Lost::unanswered(how)),
+            },
+        }
+    }
+
+    /// Has a command answered on a connection of its own, which is handed back. `sent` is called once its last byte is written; `scan` is
     /// told whether no more will come.
     async fn exchange<T>(
         &self,
@@ -200,7 +259,7 @@
         until: Instant,
         sent: impl Fn(),
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
-    ) -> Result<T, Lost> {
+    ) -> Result<(T, Connection), Lost> {
         let (connection, idle) = match self.quiet_one() {
             Some(connection) => {
                 let idle = connection.used.elapsed();
@@ -221,7 +280,7 @@
         until: Instant,
         sent: impl Fn(),
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
-    ) -> Result<T, Lost> {
+    ) -> Result<(T, Connection), Lost> {
         // Danger: a trip that was on its way here, or dialling, when the server was taken out of use. Nothing is waited
         // for between this look and the first byte.
         if self.shared.cordoned.borrow().contains(&self.server) {
@@ -234,17 +293,24 @@
         let said = match connection.message(|bytes| scan(bytes, false), until, piece).await {
             Ok(said) => said,
             Err(how) => match scan(connection.buffer.filled(), true) {
-                // All that matters has come, and the connection goes with the rest.
-                Ok(Some((said, _))) => return Ok(said),
+                // All that matters has come, and the rest of the connection is of no use.
+                Ok(Some((said, _))) => {
+                    connection.spoilt = true;
+                    said
+                }
                 _ => return Err(Lost::unanswered(how)),
             },
         };
+        Ok((said, connection))
+    }
+
+    /// Keeps a connection for the next trip, if it is good for one.
+    fn keep(&self, mut connection: Connection) {
         // Idle connections must leave sockets for those to other servers.
-        if self.shared.limits.servers.roomy() && connection.buffer.is_empty() {
+        if self.shared.limits.servers.roomy() && connection.buffer.is_empty() && !connection.spoilt {
             connection.used = Instant::now();
             self.idle.borrow_mut().push(connection);
         }
-        Ok(said)
     }
 
     /// The good idle connection used last, so that those not needed any more grow old.
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -7,18 +7,24 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use futures_lite::{future, ready, AsyncWriteExt};
+use futures_lite::{future, ready, AsyncReadExt, AsyncWriteExt};
 
 use super::buffer::Buffer;
 use super::ending::Ending;
 use super::limits::Place;
 use crate::protocol::Scanned;
 
+/// Bytes of a long value that are passed on at a time. A value takes three such pieces, one on each side and one between
+/// them; all connections to servers together then take less than a tenth of the least memory.
+const PIECE: usize = 16 * 1024;
+
 pub struct Connection {
     stream: Async<TcpStream>,
     pub buffer: Buffer,
     /// When it was last used.
     pub used: Instant,
+    /// What comes on it can't be told apart any more.
+    pub spoilt: bool,
     _place: Option<Place>,
 }
 
@@ -26,7 +32,7 @@
     pub fn new(stream: Async<TcpStream>, buffer: Buffer, place: Option<Place>) -> Self {
         // Messages are small and each is waited for.
         let _ = stream.get_ref().set_nodelay(true);
-        Connection { stream, buffer, used: Instant::now(), _place: place }
+        Connection { stream, buffer, used: Instant::now(), spoilt: false, _place: place }
     }
 
     pub async fn dial(
@@ -65,6 +71,26 @@
         }
     }
 
+    /// The next bytes of a long value, `most` of them at most and as many as a piece has.
+    pub async fn piece(&mut self, most: usize) -> Result<Vec<u8>, Ending> {
+        let most = most.min(PIECE);
+        if !self.buffer.is_empty() {
+            let filled = self.buffer.filled();
+            let piece = filled[..most.min(filled.len())].to_vec();
+            self.buffer.consume(piece.len());
+            return Ok(piece);
+        }
+        let mut piece = vec![0; most];
+        match (&self.stream).read(&mut piece).await {
+            Ok(0) => Err(Ending::Closed),
+            Ok(count) => {
+                piece.truncate(count);
+                Ok(piece)
+            }
+            Err(_) => Err(Ending::Broken),
+        }
+    }
+
     /// Writes all; the last byte is written only if this succeeds.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), Ending> {
         self.used = Instant::now();
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -6,6 +6,7 @@
 use fernscale_gateway::transport::ending::Ending;
 use fernscale_gateway::transport::limits::Places;
 
+use fernscale::interface::Load;
 use fernscale::settings::Outside;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use resp::Reply;
@@ -325,3 +326,42 @@
     both[0].consume(5_000);
     assert_eq!((fill(&mut both[1]), all.taken()), (Ending::Garbled, 5_000));
 }
+
+/// A long value is known by its head, wherever the bytes are cut, and what stands behind it is read or done without.
+#[test]
+fn the_head_and_the_end_of_a_long_value_are_read_wherever_they_are_cut() {
+    let head = b"*3\r\n$70000\r\n";
+    for cut in 0..head.len() {
+        assert_eq!(resp::opening(&head[..cut]), Ok(None), "{cut}");
+    }
+    let opening = resp::Opening { items: 3, length: 70_000 };
+    assert_eq!(resp::opening(head), Ok(Some((opening, head.len()))));
+    for other in [
+        "*3\r\n$65536\r\n",
+        "*3\r\n$4194305\r\n",
+        "*3\r\n$3000000000\r\n",
+        "$70000\r\n",
+        "-BUSY\r\n",
+        "*99\r\n$70000\r\n",
+    ] {
+        assert_eq!(resp::opening(other.as_bytes()), Ok(None), "{other}");
+    }
+    let names = ["inflight".to_string()];
+    let end = b"\r\n$8\r\ncost=2.5\r\n$10\r\ninflight=7\r\n";
+    for cut in 0..end.len() {
+        assert_eq!(call::behind(&end[..cut], 2, false, &names), Ok(None), "{cut}");
+        let ended = call::behind(&end[..cut], 2, true, &names);
+        match cut {
+            0 | 1 => assert!(ended.is_err()),
+            _ => assert_eq!(ended, Ok(Some(((Said::Passed { units: None }, Load::default()), cut)))),
+        }
+    }
+    let load = Load { in_flight: Some(7.0), ..Load::default() };
+    let passed = (Said::Passed { units: Some(2.5) }, load);
+    assert_eq!(call::behind(end, 2, false, &names), Ok(Some((passed, end.len()))));
+    assert!(call::behind(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
+    assert!(matches!(
+        call::behind(b"\r\n?what\r\n", 2, false, &names),
+        Ok(Some(((Said::Passed { units: None }, _), 9)))
+    ));
+}
