--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -346,8 +346,8 @@
     ] {
         assert_eq!(resp::opening(other.as_bytes()), Ok(None), "{other}");
     }
-    let names = ["inflight".to_string()];
-    let end = b"\r\n$8\r\ncost=2.5\r\n$10\r\ninflight=7\r\n";
+    let names = ["pending".to_string()];
+    let end = b"\r\n$8\r\ncost=2.5\r\n$9\r\npending=7\r\n";
     for cut in 0..end.len() {
         assert_eq!(call::behind(&end[..cut], 2, false, &names), Ok(None), "{cut}");
         let ended = call::behind(&end[..cut], 2, true, &names);
@@ -356,7 +356,7 @@
             _ => assert_eq!(ended, Ok(Some(((Said::Passed { units: None }, Load::default()), cut)))),
         }
     }
-    let load = Load { in_flight: Some(7.0), ..Load::default() };
+    let load = Load { waiting: Some(7.0), ..Load::default() };
     let passed = (Said::Passed { units: Some(2.5) }, load);
     assert_eq!(call::behind(end, 2, false, &names), Ok(Some((passed, end.len()))));
     assert!(call::behind(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
