--- a/crates/gateway/src/program/file.rs
+++ b/crates/gateway/src/program/file.rs
@@ -87,6 +87,11 @@
         }
         counter.end();
     }
+    if let Some(mut operator) = file.section("operator") {
+        let address = operator.needed("address", Section::address);
+        put(&mut config, "operator", address.map(|address| address.value.to_string()));
+        operator.end();
+    }
     if let Some(mut limits) = file.section("limits") {
         let sockets = limits.count("sockets", LEAST_SOCKETS..=MOST_SOCKETS);
         let memory = limits.size("memory", LEAST_MEMORY..=MOST_MEMORY);
