Idle clients make room for the process that comes; a word waits for the first look

Cause: the old process kept what it held beyond its half until clients left, and one that had not looked yet took itself for alone and answered an operator before the other had heard. Change: fewer places push out idle clients at once; heard is not known before the first look. Tests: 95 idle clients at a limit of 200 beside a new process; operators while clients have all places.

--- a/crates/cli/tests/sockets/operator.rs
+++ b/crates/cli/tests/sockets/operator.rs
@@ -128,3 +128,23 @@
     assert!(one.calls() > calls && one.calls() < calls + 10, "{} after {calls}", one.calls());
     assert_eq!(gateway.operate("POST", "/admin/uncordon", "nobody").0, 404);
 }
+
+#[test]
+fn operators_are_answered_while_clients_have_all_places() {
+    let server = Server::start(Does::Late(300));
+    // 41 for itself and operators, 13 servers, 29 clients, 3 turned away.
+    let gateway = Gateway::with_sockets(&[&server], 86);
+    let mut clients: Vec<Client> = (0..60).map(|_| gateway.client()).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        let _ = client.stream.write_all(&call(&format!("t{at}"), "read", 1_400));
+    }
+    for _ in 0..20 {
+        let began = Instant::now();
+        assert_eq!(gateway.operate("GET", "/admin/health", "").0, 200);
+        assert!(gateway.figure("active") <= 29);
+        assert!(began.elapsed() < LATE);
+        thread::sleep(Duration::from_millis(20));
+    }
+    let files = std::fs::read_dir(format!("/proc/{}/fd", gateway.process.id())).expect("it runs").count();
+    assert!(files <= 86, "{files} descriptors");
+}
--- a/crates/cli/tests/sockets/upgrade.rs
+++ b/crates/cli/tests/sockets/upgrade.rs
@@ -26,8 +26,12 @@
 
 impl Inherits {
     fn start(listener: &TcpListener, directory: &Path, servers: &[&Server]) -> Self {
+        Inherits::with_sockets(listener, directory, servers, 1024)
+    }
+
+    fn with_sockets(listener: &TcpListener, directory: &Path, servers: &[&Server], sockets: usize) -> Self {
         let listen = listener.local_addr().expect("an address");
-        let file = file(&config(listen, discovery(members(servers), true), NO_SERVERS, 1024));
+        let file = file(&config(listen, discovery(members(servers), true), NO_SERVERS, sockets));
         let operator = super::process::listen().1;
         // The shell makes the socket descriptor 4 before it becomes the gateway.
         let script = format!("exec {} 4<&{}", env!("CARGO_BIN_EXE_fernscale"), listener.as_raw_fd());
@@ -222,3 +226,28 @@
         assert!(told.contains("BALANCER_PASSED_SOCKET") && told.lines().count() == 1, "{told}");
     }
 }
+
+#[test]
+fn idle_clients_make_room_for_the_process_that_comes() {
+    let server = Server::start(Does::Serve);
+    let (listener, address) = listen();
+    let directory = tempfile::tempdir().expect("a folder");
+    let old = Inherits::with_sockets(&listener, directory.path(), &[&server], 200);
+    // More than a half of all have asked once, and stay.
+    let mut clients: Vec<Client> = (0..95).map(|_| Client::to(address)).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask(&call(&format!("t{at}"), "read", 1_200)), format!("t{at}"));
+    }
+    let new = Inherits::with_sockets(&listener, directory.path(), &[&server], 200);
+    let began = Instant::now();
+    loop {
+        let held = [&old, &new].map(|gateway| {
+            std::fs::read_dir(format!("/proc/{}/fd", gateway.process.id())).expect("it runs").count()
+        });
+        if held[0] <= 100 && clients.iter().filter(|client| !client.ended()).count() >= 30 {
+            break;
+        }
+        assert!(began.elapsed() < SOON, "{held:?} descriptors");
+        wait(10);
+    }
+}
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -77,6 +77,7 @@
         figures: Figures::new(&config.outside.lanes),
         cordoned: RefCell::default(),
         outside: config.outside,
+        tightened: Default::default(),
         ready: Cell::new(false),
         listening: Cell::new(false),
         stopping: Cell::new(false),
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -96,7 +96,17 @@
                 }
                 None
             };
-            let Some(stream) = future::or(left, incoming.next()).await else { return };
+            let tightened = self.shared.tightened.listen();
+            let fewer = async {
+                tightened.await;
+                Some(None)
+            };
+            let came = async { incoming.next().await.map(Some) };
+            let Some(came) = future::or(left, future::or(fewer, came)).await else { return };
+            let Some(stream) = came else {
+                self.make_room();
+                continue;
+            };
             match stream {
                 Ok(stream) => self.let_in(stream).await,
                 Err(error) => {
@@ -108,6 +118,15 @@
         }
     }
 
+    /// Another process of this gateway has a part of the places from now on, and can't have them until they are free.
+    fn make_room(&self) {
+        let over = self.shared.limits.clients.taken().saturating_sub(self.shared.limits.clients.most());
+        for _ in 0..over {
+            let Some((leave, _)) = self.idle.borrow_mut().leaver() else { return };
+            let _ = leave.try_send(());
+        }
+    }
+
     async fn let_in(&mut self, stream: Async<std::net::TcpStream>) {
         let (place, served) = loop {
             if let Some(place) = self.shared.limits.clients.take(1) {
--- a/crates/gateway/src/routing/handover.rs
+++ b/crates/gateway/src/routing/handover.rs
@@ -85,6 +85,7 @@
         let Part { of_all, processes, sockets } = part;
         debug!(self.shared.log, #"handover.part", "this process's part of its gateway"; "of_all" => of_all, "processes" => processes, "sockets" => sockets);
         self.shared.limits.part(sockets, processes);
+        self.shared.tightened.notify(1);
         let _ = self.orders.send(Order::Part(of_all)).await;
     }
 
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -40,6 +40,8 @@
     pub log: Logger,
     pub clock: Clock,
     pub limits: Limits,
+    /// There are fewer places than before: idle clients make room.
+    pub tightened: event_listener::Event,
     pub outside: Outside,
     pub figures: figures::Figures,
     /// Servers that the operators have taken out of use: no trip to one of them begins.
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -63,6 +63,10 @@
         true
     }
 
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
     /// At least a quarter is free.
     pub fn roomy(&self) -> bool {
         4 * self.taken.get() <= 3 * self.most.get()
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -37,6 +37,7 @@
         },
         figures: Figures::new(&[]),
         cordoned: RefCell::default(),
+        tightened: Default::default(),
         ready: Cell::new(true),
         listening: Cell::new(true),
         stopping: Cell::new(false),
--- a/crates/handover/src/core.rs
+++ b/crates/handover/src/core.rs
@@ -200,9 +200,9 @@
         self.version
     }
 
-    /// Whether all that live have heard the words up to this version.
+    /// Whether all that live have heard the words up to this version; not known before the first look.
     pub fn heard(&self, version: u64) -> bool {
-        self.live.values().all(|live| live.knows.is_some_and(|knows| knows >= version))
+        self.part.is_some() && self.live.values().all(|live| live.knows.is_some_and(|knows| knows >= version))
     }
 
     /// What the others are to know.
