A process has its name among the records only once its lock is held

Cause, from reading: between making the lock's file and locking it another process could take it for a dead one's and clear it away; from then on nobody would see this one, and two would have all of the ceilings. Change: the file is made and locked under another name, then renamed. Ruled out: a test that catches the old way; a thousand openings beside one that looks and clears without pause never met the window, so that it would be a test that can't fail.

--- a/crates/handover/src/shell.rs
+++ b/crates/handover/src/shell.rs
@@ -44,14 +44,21 @@
         let newest = numbers(&directory).map_err(unusable)?.into_iter().max().unwrap_or(0);
         let mut me = time.max(newest + 1);
         loop {
-            let path = directory.join(format!("{me}.lock"));
-            match OpenOptions::new().write(true).create_new(true).open(&path) {
+            let (path, fresh) = (directory.join(format!("{me}.lock")), directory.join(format!("new-{me}")));
+            let unusable = |why| Error::Unusable { path: path.clone(), why };
+            match OpenOptions::new().write(true).create_new(true).open(&fresh) {
+                Ok(_) if path.exists() => {
+                    fs::remove_file(&fresh).map_err(unusable)?;
+                    me += 1;
+                }
+                // Danger: one that looks in between would take an unlocked file for that of a dead process and clear it
+                // away, and from then on nobody would see this one. It is locked before it has its name.
                 Ok(lock) => {
-                    lock.lock().map_err(unusable)?;
+                    lock.lock().and_then(|()| fs::rename(&fresh, &path)).map_err(unusable)?;
                     return Ok(Shell { directory, me, _lock: lock });
                 }
                 Err(why) if why.kind() == io::ErrorKind::AlreadyExists => me += 1,
-                Err(why) => return Err(Error::Unusable { path, why }),
+                Err(why) => return Err(Error::Unusable { path: fresh, why }),
             }
         }
     }
