The module is told its part of the gateway only when that changes

Cause, from reading: each change of the descriptors that the other process holds was told to the module as a new part, some fifty times a second, and with each the time that a new customer's ceiling is filled for began anew. Change: the link remembers the part that it told.

--- a/crates/gateway/src/routing/handover.rs
+++ b/crates/gateway/src/routing/handover.rs
@@ -1,6 +1,6 @@
 //! The way to the other processes of this gateway, while one takes the other's place.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -29,6 +29,8 @@
     shell: Shell,
     core: RefCell<Handover>,
     told: RefCell<Option<Record>>,
+    /// The part that the module was told: all, until another is.
+    of_all: Cell<f64>,
 }
 
 impl Link {
@@ -41,7 +43,14 @@
     ) -> Result<Self, fernscale_handover::shell::Error> {
         let shell = Shell::open(directory)?;
         let core = RefCell::new(Handover::new(shell.me(), sockets));
-        let link = Link { shared: shared.clone(), orders, shell, core, told: RefCell::default() };
+        let link = Link {
+            shared: shared.clone(),
+            orders,
+            shell,
+            core,
+            told: RefCell::default(),
+            of_all: Cell::new(1.0),
+        };
         // To be seen goes first: of two that come at once, one sees the other.
         link.tell();
         Ok(link)
@@ -86,7 +95,10 @@
         debug!(self.shared.log, #"handover.part", "this process's part of its gateway"; "of_all" => of_all, "processes" => processes, "sockets" => sockets);
         self.shared.limits.part(sockets, processes);
         self.shared.tightened.notify(1);
-        let _ = self.orders.send(Order::Part(of_all)).await;
+        // Descriptors come and go all the time; the module begins anew with each part that it is told.
+        if self.of_all.replace(of_all) != of_all {
+            let _ = self.orders.send(Order::Part(of_all)).await;
+        }
     }
 
     /// Lets the others know what is new here; false if they can't.
