A client's pool keeps its connections while a third of the places is free

Need: a pool of 150 connections at 617 places found half of them closed at its second round, one of 400 four in five; twelve pools of seven at 84 places opened all 84 anew in every round. Change: the eighth holds once two thirds of the places are taken, by a draw; whoever makes room gives its place up at once and is read on among those turned away, so that a request that crosses the end meets no reset. The three tests of pools fail without the change.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -3,5 +3,6 @@
 mod end_to_end;
 mod large;
 mod operator;
+mod pools;
 mod process;
 mod upgrade;
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -30,9 +30,10 @@
 /// Pause while there is no place for another connection, and after one that could not be accepted: the machine is
 /// then out of descriptors, and a line in the log for each try would not help it.
 const FULL: Duration = Duration::from_millis(5);
-/// Part of the clients' places, as its divisor, that those may have who asked once and fell idle. Danger: clients that
-/// come for one request and keep their connection. They fill no place here that is wanted, yet whoever brings them in has
-/// so many connections as well, and once all of those stand idle nobody comes. Who asks again is not of that kind.
+/// Part of the clients' places, as its divisor, that those may have who asked once and fell idle, once two thirds of
+/// all places are taken. Danger: clients that come for one request and keep their connection. Whoever brings them in has so
+/// many connections as well, and once all of those stand idle nobody comes. Who asks again is not of that kind; nor can
+/// a pool be told from such a crowd before its second round, so that with room to spare nobody goes.
 const ONCE: usize = 8;
 /// How long a client's first command may be on its way once it has connected: whoever is pushed out before that comes
 /// back, and pushes out another.
@@ -54,30 +55,48 @@
 const MOST_TURN: Duration = Duration::from_secs(1);
 
 /// Connections with nothing open: those that wait to hear what was wrong, those on which no command has come yet, those
-/// with one, and those with more; in each, the longest idle first. The fewer have come, the less likely is another.
+/// with one, and those with more; in each, the longest idle first. The fewer have come, the less likely is another. Last
+/// those that have left their place to another and are only read on, so that what crosses their end meets no reset.
 #[derive(Default)]
-struct Idle([BTreeMap<(Instant, u64), Sender<()>>; 4]);
+struct Idle([BTreeMap<(Instant, u64), Sender<()>>; 5]);
+
+const WRONG: usize = 0;
+const SILENT: usize = 1;
+const ONE: usize = 2;
+const MORE: usize = 3;
+const LEAVING: usize = 4;
 
 impl Idle {
     /// Who is to make room for another: whoever asked wrongly, or has said nothing for longer than a first command
-    /// takes; else who asked once, else who says nothing, else the longest idle. And whether it asked wrongly.
+    /// takes; else one that asked once, else who says nothing, else the longest idle. And whether it asked wrongly.
     fn leaver(&mut self) -> Option<(Sender<()>, bool)> {
-        let [wrong, silent, once, more] = &mut self.0;
+        let [wrong, silent, once, more, _] = &self.0;
         let asked_wrongly = !wrong.is_empty();
         let old = silent.first_key_value().is_some_and(|((since, _), _)| since.elapsed() >= FIRST);
-        let idle = match () {
-            _ if asked_wrongly => wrong,
-            _ if old || once.is_empty() && !silent.is_empty() => silent,
-            _ if !once.is_empty() => once,
-            _ => more,
+        let rank = match () {
+            _ if asked_wrongly => WRONG,
+            _ if old || once.is_empty() && !silent.is_empty() => SILENT,
+            _ if !once.is_empty() => return self.asked_once(0).map(|leave| (leave, false)),
+            _ if !more.is_empty() => MORE,
+            _ => return None,
         };
-        idle.pop_first().map(|(_, leave)| (leave, asked_wrongly))
+        self.0[rank].pop_first().map(|(_, leave)| (leave, asked_wrongly))
     }
 
-    /// Who asked once and has been idle for longest, where there are more of that kind than `most`.
+    /// One that asked once, where there are more of that kind than `most`, by a draw. Danger: pools that ask by turns. The
+    /// longest idle is the next to ask there, so that with the longest idle gone none ever comes to ask again.
     fn asked_once(&mut self, most: usize) -> Option<Sender<()>> {
-        let [_, _, once, _] = &mut self.0;
-        (once.len() > most).then(|| once.pop_first()).flatten().map(|(_, leave)| leave)
+        let once = &mut self.0[ONE];
+        if once.len() <= most {
+            return None;
+        }
+        let key = *once.keys().nth(rand::random::<usize>() % once.len())?;
+        once.remove(&key)
+    }
+
+    /// Who has been read on for longest.
+    fn gone_longest(&mut self) -> Option<Sender<()>> {
+        self.0[LEAVING].pop_first().map(|(_, leave)| leave)
     }
 }
 
@@ -159,6 +178,10 @@
             if let Some(place) = self.shared.limits.turned_away.take(1) {
                 break (place, false);
             }
+            let longest = self.idle.borrow_mut().gone_longest();
+            if let Some(leave) = longest {
+                let _ = leave.try_send(());
+            }
             Timer::after(FULL).await;
         };
         let (answered, answers) = async_channel::bounded(DEPTH);
@@ -236,8 +259,10 @@
     async fn run(mut self) {
         let how = self.serve().await;
         debug!(self.shared.log, #"client.ended", "a client's connection ended"; "how" => ?how);
-        if matches!(how, Ending::Garbled | Ending::Stopping) {
-            self.linger().await;
+        match how {
+            Ending::Garbled | Ending::Stopping => self.linger().await,
+            Ending::Idle => self.make_room().await,
+            _ => {}
         }
         // Whoever has gone is owed nothing.
         for (id, ticket) in self.waiting.drain(..).filter_map(|waiting| waiting.open) {
@@ -333,10 +358,14 @@
             let _ = self.evicted.recv().await;
             Step::Leave(Ending::Idle)
         };
-        let (rank, key) = (1 + self.next.min(2) as usize, (Instant::now(), self.number));
+        let rank = [SILENT, ONE, MORE][self.next.min(2) as usize];
+        let key = (Instant::now(), self.number);
         self.idle.borrow_mut().0[rank].insert(key, self.evict.clone());
-        if let Some(leave) = self.idle.borrow_mut().asked_once(self.shared.limits.clients.most() / ONCE) {
-            let _ = leave.try_send(());
+        let clients = &self.shared.limits.clients;
+        if !clients.spare() {
+            if let Some(leave) = self.idle.borrow_mut().asked_once(clients.most() / ONCE) {
+                let _ = leave.try_send(());
+            }
         }
         let step = future::or(read, future::or(evicted, leave)).await;
         self.idle.borrow_mut().0[rank].remove(&key);
@@ -422,14 +451,14 @@
             return;
         }
         let key = (now, self.number);
-        self.idle.borrow_mut().0[0].insert(key, self.evict.clone());
+        self.idle.borrow_mut().0[WRONG].insert(key, self.evict.clone());
         let turn = async {
             Timer::at(at).await;
             false
         };
         let evicted = async { self.evicted.recv().await.is_ok() };
         self.last |= future::or(turn, evicted).await;
-        self.idle.borrow_mut().0[0].remove(&key);
+        self.idle.borrow_mut().0[WRONG].remove(&key);
     }
 
     /// What follows can't be told apart any more: one error, and the end.
@@ -476,6 +505,33 @@
         Err(Ending::Broken)
     }
 
+    /// Leaves its place to another, and is read on in one of those who are turned away, so that a request that crosses
+    /// the end meets no reset: the client sees a clean end with no answer, and nothing was done. Whoever has been read on
+    /// for longest goes for it. Where those places are taken by others it ends at once.
+    async fn make_room(&mut self) {
+        let place = loop {
+            if let Some(place) = self.shared.limits.turned_away.take(1) {
+                break place;
+            }
+            let longest = self.idle.borrow_mut().gone_longest();
+            let Some(longest) = longest else { return };
+            let _ = longest.try_send(());
+            longest.closed().await;
+        };
+        self.connection.moves_to(place);
+        // Whoever waits for the place waits for this.
+        let (leave, cut) = async_channel::bounded(1);
+        self.evicted = cut.clone();
+        let key = (Instant::now(), self.number);
+        let idle = self.idle.clone();
+        idle.borrow_mut().0[LEAVING].insert(key, leave);
+        let cut = async {
+            let _ = cut.recv().await;
+        };
+        future::or(self.linger(), cut).await;
+        idle.borrow_mut().0[LEAVING].remove(&key);
+    }
+
     /// Bytes that are never read would take the error from the client, as the connection is then reset.
     async fn linger(&mut self) {
         let (until, mut taken, mut pause) = (Instant::now() + LINGER, 0, LINGER_PAUSE);
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -25,14 +25,14 @@
     pub used: Instant,
     /// What comes on it can't be told apart any more.
     pub spoilt: bool,
-    _place: Option<Place>,
+    place: Option<Place>,
 }
 
 impl Connection {
     pub fn new(stream: Async<TcpStream>, buffer: Buffer, place: Option<Place>) -> Self {
         // Messages are small and each is waited for.
         let _ = stream.get_ref().set_nodelay(true);
-        Connection { stream, buffer, used: Instant::now(), spoilt: false, _place: place }
+        Connection { stream, buffer, used: Instant::now(), spoilt: false, place }
     }
 
     pub async fn dial(
@@ -97,6 +97,11 @@
         self.stream.write_all(bytes).await.map_err(|_| Ending::Broken)
     }
 
+    /// Stands in another place from now on; the one that it had is free.
+    pub fn moves_to(&mut self, place: Place) {
+        self.place = Some(place);
+    }
+
     /// Says that nothing more will be written.
     pub fn finish(&self) {
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -67,6 +67,11 @@
         self.most.get()
     }
 
+    /// At least a third is free.
+    pub fn spare(&self) -> bool {
+        3 * self.taken.get() <= 2 * self.most.get()
+    }
+
     /// At least a quarter is free.
     pub fn roomy(&self) -> bool {
         4 * self.taken.get() <= 3 * self.most.get()
