A gateway tells the others where to find it; clocks can be wrong on purpose

Need: links between gateways are to be broken by the lab, so what others are told as a gateway's address must be set apart from where it listens, as whoever sits behind a forwarded address needs as well; and a trial must be able to set a clock off, and to let it step in service. Records mesh.* name the other one `peer`, as `gateway` stood twice in one JSON object. Ruled out: a shared port for both processes' datagrams, as the system deals them out by hash.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -43,6 +43,9 @@
         /// The installation's own configuration
         #[arg(long, value_name = "FILE")]
         config: Option<PathBuf>,
+        /// What it knows of all counts, instead
+        #[arg(long)]
+        counts: bool,
         /// One line of JSON
         #[arg(long)]
         json: bool,
@@ -76,7 +79,9 @@
     let done = match arguments.command {
         None => serve::serve(arguments.config),
         Some(Command::Serve { config }) => serve::serve(config.or(arguments.config)),
-        Some(Command::Members { config, json }) => members::members(config.or(arguments.config), json),
+        Some(Command::Members { config, counts, json }) => {
+            members::members(config.or(arguments.config), counts, json)
+        }
         Some(Command::Store { command }) => store::run(command),
         Some(Command::Check { file }) => check::check(file),
     };
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -5,10 +5,21 @@
 use fernscale_gateway::program::config::Source;
 use fernscale_gateway::routing::mesh;
 
-pub fn members(own: Option<PathBuf>, json: bool) -> Result<(), Vec<String>> {
+pub fn members(own: Option<PathBuf>, counts: bool, json: bool) -> Result<(), Vec<String>> {
     let source = Source::from_environment(own).map_err(|why| vec![why])?;
     let config = source.read()?;
     let settings = config.mesh.ok_or_else(|| vec!["the configuration has no [mesh]".to_string()])?;
+    if counts {
+        let sums = mesh::sums(settings.listen, &settings.keys).map_err(|why| vec![why])?;
+        if json {
+            println!("{}", serde_json::to_string(&sums).map_err(|why| vec![why.to_string()])?);
+            return Ok(());
+        }
+        for sum in &sums {
+            println!("  {:<40} {:>14.3}, for {} ms more", sum.count, sum.total, sum.left_ms);
+        }
+        return Ok(());
+    }
     let view = mesh::who(settings.listen, &settings.keys).map_err(|why| vec![why])?;
     if json {
         let text = serde_json::to_string(&view).map_err(|why| vec![why.to_string()])?;
--- a/crates/cli/tests/configuration.rs
+++ b/crates/cli/tests/configuration.rs
@@ -88,6 +88,13 @@
         ),
         ("[[plan]]", "[mesh]\nlisten = \"127.0.0.1:1\"\nkeys = []\n[[plan]]", "holds no key"),
         ("[[plan]]", "[mesh]\nlisten = \"127.0.0.1:1\"\n[[plan]]", "'mesh.keys' is missing"),
+        (
+            "[[plan]]",
+            "[mesh]\nlisten = \"127.0.0.1:1\"\nadvertise = \"0.0.0.0:1\"\n[[plan]]",
+            "an address of its own",
+        ),
+        ("[[plan]]", "[trials]\nclock-ahead = \"1s\"\nclock-behind = \"1s\"\n[[plan]]", "not both"),
+        ("[[plan]]", "[trials]\nclock-pace = 9\n[[plan]]", "from 0.5 to 2"),
         ("agreed = \"400ms\"", "agreed = \"400ms", "line 10, column"),
     ] {
         assert!(GOOD.contains(from), "{from}");
--- a/crates/gateway/src/program/config.rs
+++ b/crates/gateway/src/program/config.rs
@@ -13,6 +13,7 @@
 use super::log::Logging;
 use crate::protocol::catalog::{self, Members};
 use crate::routing::mesh;
+use crate::transport::clock::Wrong;
 
 /// Names the platform's file.
 const FILE: &str = "BALANCER_CONFIG";
@@ -38,6 +39,8 @@
     pub logging: Logging,
     /// The way to other gateways; absent, there is none.
     pub mesh: Option<mesh::Settings>,
+    /// Clocks that are wrong on purpose, in trials.
+    pub wrong: Wrong,
     /// All that holds until the next start, whatever a later configuration says.
     pub fixed: Value,
     /// The servers as this gateway last knew them.
@@ -155,6 +158,7 @@
         settings,
         logging: own.logging,
         mesh: own.mesh,
+        wrong: own.wrong,
         known: known.map(|known| catalog::members(known, &outside)).transpose()?,
         outside,
     })
--- a/crates/gateway/src/program/file.rs
+++ b/crates/gateway/src/program/file.rs
@@ -13,6 +13,7 @@
 use super::log::{Form, Level, Logging};
 use super::reader::{At, Problem, Problems, Section};
 use crate::routing::mesh;
+use crate::transport::clock::Wrong;
 
 /// What a file says: the platform's form of it, and what that has no words for.
 #[derive(Debug, Default)]
@@ -20,6 +21,8 @@
     pub config: Value,
     pub logging: Logging,
     pub mesh: Option<mesh::Settings>,
+    /// Clocks that are wrong on purpose, in trials.
+    pub wrong: Wrong,
 }
 
 const SECOND: Micros = 1_000_000;
@@ -162,11 +165,32 @@
         section.end();
         mesh
     });
+    let wrong = file.section("trials").map_or_else(Wrong::default, |mut section| {
+        let wrong = trials_section(&mut section);
+        section.end();
+        wrong
+    });
     settings.insert("ceilings".into(), ceilings);
     settings.insert("specifics".into(), specifics);
     config.insert("settings".into(), settings.into());
     file.end();
-    Own { config: config.into(), logging, mesh }
+    Own { config: config.into(), logging, mesh, wrong }
+}
+
+/// What is broken on purpose.
+fn trials_section(section: &mut Section) -> Wrong {
+    let ahead = section.time("clock-ahead", 0..=DAY);
+    let behind = section.time("clock-behind", 0..=DAY);
+    if let Some(behind) = behind.as_ref().filter(|_| ahead.is_some()) {
+        section.problem(behind.at, "a clock is ahead or behind, not both: leave one of the two away");
+    }
+    let pace = section.number("clock-pace", 0.5..=2.0);
+    let time = |time: Option<At<Micros>>| time.map_or(0, |time| time.value as i64);
+    let right = Wrong::default();
+    Wrong {
+        ahead: time(ahead) - time(behind),
+        pace: pace.map_or(right.pace, |pace| (pace.value * 1e6) as u64),
+    }
 }
 
 /// A section that must be there unless another file says it all.
@@ -206,6 +230,14 @@
 
 fn mesh_section(section: &mut Section) -> Option<mesh::Settings> {
     let listen = section.needed("listen", Section::address);
+    let advertise = section.address("advertise");
+    if let Some(told) = advertise.as_ref().filter(|told| told.value.ip().is_unspecified()) {
+        section.problem(
+            told.at,
+            "'mesh.advertise' is where others find this gateway: name an address of its own",
+        );
+    }
+    let advertise = advertise.map(|told| told.value);
     let seeds = section.names("seeds").unwrap_or_default();
     let seeds = seeds.into_iter().filter_map(|seed| match seed.value.parse() {
         Ok(address) => Some(address),
@@ -233,7 +265,8 @@
     if given.is_empty() && section.has("keys") {
         section.problem(section.at(), "'mesh.keys' holds no key: the first seals, all of them open");
     }
-    listen.filter(|_| !keys.is_empty()).map(|listen| mesh::Settings { listen: listen.value, seeds, keys })
+    let listen = listen.filter(|_| !keys.is_empty());
+    listen.map(|listen| mesh::Settings { listen: listen.value, advertise, seeds, keys })
 }
 
 fn servers_section(servers: &mut Section, settings: &mut Map<String, Value>, ceilings: &mut Value) {
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt::Display;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
 use std::rc::Rc;
@@ -22,11 +23,11 @@
 use crate::routing::figures::Figures;
 use crate::routing::handover::Link;
 use crate::routing::list::{self, List};
-use crate::routing::mesh::Mesh;
+use crate::routing::mesh::{self, Mesh};
 use crate::routing::module::Module;
 use crate::routing::operator::{self, Desk};
 use crate::routing::{Event, Shared, MOST_EVENTS, MOST_ORDERS};
-use crate::transport::clock::{micros, Clock};
+use crate::transport::clock::{micros, Clock, Wrong};
 use crate::transport::limits::{Limits, OPERATORS};
 
 /// After SIGTERM new connections keep coming for some tenths of a second; all that come until then are heard.
@@ -54,6 +55,11 @@
     log: Logger,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
+    config.wrong.starts();
+    if config.wrong != Wrong::default() {
+        warn!(log, #"trial.clock", "this process's clocks are wrong on purpose"; "ahead_us" => config.wrong.ahead,
+            "pace_millionths" => config.wrong.pace);
+    }
     let mut signals =
         Signals::new([Signal::Term, Signal::Hup]).map_err(|error| format!("no signals: {error}"))?;
     let listener = match config.passed {
@@ -87,10 +93,22 @@
         mesh: OnceCell::new(),
     });
     if let Some(settings) = &config.mesh {
-        let mesh = Mesh::start(&shared, &config.name, config.settings.gateways, settings);
-        let mesh =
-            mesh.map_err(|error| format!("can't speak with gateways on {}: {error}", settings.listen))?;
-        let _ = shared.mesh.set(mesh);
+        match Mesh::start(&shared, &config.name, config.settings.gateways, settings) {
+            Ok(mesh) => drop(shared.mesh.set(mesh)),
+            // The other process of this gateway speaks for it until it ends.
+            Err(error) if error.kind() == ErrorKind::AddrInUse && config.passed.is_some() => {
+                info!(log, #"mesh.waits", "another process of this gateway speaks with the others";
+                    "listen" => settings.listen.to_string());
+                let later = speaks_later(
+                    shared.clone(),
+                    config.name.clone(),
+                    config.settings.gateways,
+                    settings.clone(),
+                );
+                executor.spawn(later).detach();
+            }
+            Err(error) => return Err(format!("can't speak with gateways on {}: {error}", settings.listen)),
+        }
     }
     let (events, mailbox) = async_channel::bounded(MOST_EVENTS);
     let counter = config.counter.map(|address| Counter::start(&shared, &events, address));
@@ -153,6 +171,22 @@
     Ok(())
 }
 
+/// Speaks with other gateways once the process before this one has let the address go.
+async fn speaks_later(shared: Rc<Shared>, name: String, gateways: u32, settings: mesh::Settings) {
+    loop {
+        Timer::after(LOOK).await;
+        match Mesh::start(&shared, &name, gateways, &settings) {
+            Ok(mesh) => return drop(shared.mesh.set(mesh)),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => {
+                let why = error.to_string();
+                warn!(shared.log, #"mesh.none", "goes on without the other gateways"; "why" => why);
+                return;
+            }
+        }
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<Async<TcpListener>, String> {
     let failed = |error: &dyn Display| format!("can't listen on {address}: {error}");
     let listener = Async::<TcpListener>::bind(address).map_err(|error| failed(&error))?;
@@ -193,6 +227,7 @@
         events: &Sender<Event>,
         list: &Sender<list::Order>,
     ) {
+        new.wrong.steps();
         if let Some((mesh, settings)) = shared.mesh.get().zip(new.mesh.as_ref()) {
             mesh.turn(&settings.keys);
         }
--- a/crates/gateway/src/routing/mesh.rs
+++ b/crates/gateway/src/routing/mesh.rs
@@ -3,22 +3,25 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use event_listener::Event as Wake;
 use fernscale::interface::Micros;
 use fernscale_mesh::node::{Config, Event, Node, Output};
-use fernscale_mesh::packet::{Packet, Peer, Stream, View, Viewed, MOST_BYTES, MOST_FULL};
+use fernscale_mesh::packet::{Packet, Peer, Stream, Sum, View, Viewed, MOST_BYTES, MOST_FULL};
 use fernscale_mesh::seal::{Key, Sealer};
 use fernscale_tally::tally;
 use fernscale_tally::vectors::Instance;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
+use rustix::io::Errno;
+use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use slog::{info, warn, Logger};
 
 use super::Shared;
+use crate::transport::clock::unix;
 
 /// Datagrams taken in a row: a flood of them must leave the core to those who are served.
 const IN_A_ROW: usize = 64;
@@ -34,6 +37,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     pub listen: SocketAddr,
+    /// Where others find this gateway, if that is elsewhere: behind an address that is passed on to it.
+    pub advertise: Option<SocketAddr>,
     pub seeds: Vec<SocketAddr>,
     pub keys: Vec<Key>,
 }
@@ -41,8 +46,13 @@
 pub struct Mesh {
     node: RefCell<Node>,
     sealer: RefCell<Sealer>,
-    socket: Async<UdpSocket>,
+    /// None once this gateway has left: another process of it may listen there.
+    socket: RefCell<Option<Rc<Async<UdpSocket>>>>,
     wake: Wake,
+    /// Closed when this gateway leaves.
+    left: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    /// Where streams of this gateway come from: others may know it by that.
+    from: IpAddr,
     gateways: usize,
     exchanges: Cell<usize>,
     /// How the counter stood when last looked at, for who asks.
@@ -50,11 +60,6 @@
     shared: Rc<Shared>,
 }
 
-/// The time that packets are stamped with: that of all machines.
-fn unix() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
-}
-
 impl Mesh {
     /// Listens, and speaks from now on.
     pub fn start(
@@ -66,25 +71,28 @@
         let listener = Async::<TcpListener>::bind(settings.listen)?;
         let address = listener.get_ref().local_addr()?;
         let socket = Async::<UdpSocket>::bind(address)?;
-        let me = Peer { name: name.into(), instance: Instance(rand::random()), address };
+        let told = settings.advertise.unwrap_or(address);
+        let me = Peer { name: name.into(), instance: Instance(rand::random()), address: told };
         let sealer = Sealer::new(settings.keys.clone(), me.instance);
         let sealer = sealer.ok_or_else(|| io::Error::other("the mesh has no key"))?;
         let config = Config { me, seeds: settings.seeds.clone() };
         let mesh = Rc::new(Mesh {
             node: RefCell::new(Node::new(config, rand::random(), shared.clock.now())),
             sealer: RefCell::new(sealer),
-            socket,
+            socket: RefCell::new(Some(Rc::new(socket))),
             wake: Wake::new(),
+            left: async_channel::bounded(1),
+            from: address.ip(),
             gateways: gateways as usize,
             exchanges: Cell::new(0),
             standing: Cell::new(tally::Standing::Good),
             shared: shared.clone(),
         });
         info!(shared.log, #"mesh.starts", "speaks with other gateways"; "listen" => address.to_string(),
-            "seeds" => settings.seeds.len());
-        shared.executor.spawn(mesh.clone().keep_time()).detach();
-        shared.executor.spawn(mesh.clone().hear()).detach();
-        shared.executor.spawn(mesh.clone().exchanges(listener)).detach();
+            "advertise" => told.to_string(), "seeds" => settings.seeds.len());
+        mesh.until_left(mesh.clone().keep_time());
+        mesh.until_left(mesh.clone().hear());
+        mesh.until_left(mesh.clone().exchanges(listener));
         Ok(mesh)
     }
 
@@ -105,10 +113,21 @@
         Some(tally::Mesh { total, whole: node.live().count() + 1 >= self.gateways })
     }
 
-    /// Tells some that this gateway goes.
+    /// Tells some that this gateway goes, and listens no more.
     pub fn leave(&self) {
         self.node.borrow_mut().leave(self.shared.clock.now());
         self.carry();
+        self.left.0.close();
+        self.socket.take();
+    }
+
+    /// Works at something until this gateway leaves; then it is dropped, with the sockets that it has.
+    fn until_left(&self, work: impl std::future::Future<Output = ()> + 'static) {
+        let left = self.left.1.clone();
+        let left = async move {
+            let _ = left.recv().await;
+        };
+        self.shared.executor.spawn(future::or(left, work)).detach();
     }
 
     async fn keep_time(self: Rc<Self>) {
@@ -138,11 +157,13 @@
                 Output::Send { to, packet } => {
                     let bytes = self.sealer.borrow_mut().seal(unix(), &packet);
                     // A datagram that can't be sent now is as good as lost on the way.
-                    let _ = self.socket.get_ref().send_to(&bytes, to);
+                    if let Some(socket) = &*self.socket.borrow() {
+                        let _ = socket.get_ref().send_to(&bytes, to);
+                    }
                 }
                 Output::Exchange { to } => {
                     let seal = self.sealed_full();
-                    let work = dial_and_exchange(to, seal);
+                    let work = dial_and_exchange(Some(self.from), to, seal);
                     let Some(mesh) = self.shared.mesh.get().cloned() else { continue };
                     self.shared
                         .executor
@@ -165,9 +186,10 @@
 
     async fn hear(self: Rc<Self>) {
         let mut bytes = [0; 2 * MOST_BYTES];
+        let Some(socket) = self.socket.borrow().clone() else { return };
         loop {
             for _ in 0..IN_A_ROW {
-                let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { break };
+                let Ok((length, from)) = socket.recv_from(&mut bytes).await else { break };
                 let opened = self.sealer.borrow_mut().open::<Packet>(unix(), &bytes[..length]);
                 match opened {
                     Ok((sealed_by, packet)) if sealed_by == packet.from.instance => {
@@ -230,6 +252,10 @@
                 let view = Stream::View(self.view());
                 self.sealer.borrow_mut().seal(unix(), &view)
             }
+            Ok((_, Stream::Counts)) => {
+                let sums = Stream::Sums(self.node.borrow().sums(self.shared.clock.now()));
+                self.sealer.borrow_mut().seal(unix(), &sums)
+            }
             other => {
                 let why = other.err().map_or("it makes no sense here".into(), |why| why.to_string());
                 self.refused(stream.get_ref().peer_addr()?, &why);
@@ -271,17 +297,17 @@
 fn tell(log: &Logger, event: &Event) {
     let of = |peer: &Peer| format!("{} at {}", peer.name, peer.address);
     match event {
-        Event::Joined(peer) => info!(log, #"mesh.joined", "a gateway is there"; "gateway" => of(peer)),
+        Event::Joined(peer) => info!(log, #"mesh.joined", "a gateway is there"; "peer" => of(peer)),
         Event::Suspected(peer) => {
-            info!(log, #"mesh.suspected", "a gateway does not answer"; "gateway" => of(peer))
+            info!(log, #"mesh.suspected", "a gateway does not answer"; "peer" => of(peer))
         }
         Event::Cleared(peer) => {
-            info!(log, #"mesh.cleared", "a gateway is there after all"; "gateway" => of(peer))
+            info!(log, #"mesh.cleared", "a gateway is there after all"; "peer" => of(peer))
         }
-        Event::Gone(peer) => warn!(log, #"mesh.gone", "a gateway is taken for gone"; "gateway" => of(peer)),
-        Event::Left(peer) => info!(log, #"mesh.left", "a gateway has left"; "gateway" => of(peer)),
+        Event::Gone(peer) => warn!(log, #"mesh.gone", "a gateway is taken for gone"; "peer" => of(peer)),
+        Event::Left(peer) => info!(log, #"mesh.left", "a gateway has left"; "peer" => of(peer)),
         Event::NameTwice(one, other) => warn!(log, #"mesh.name-twice", "two gateways go by one name";
-            "gateway" => of(one), "other" => of(other)),
+            "peer" => of(one), "other" => of(other)),
     }
 }
 
@@ -307,10 +333,34 @@
     stream.write_all(bytes).await
 }
 
-/// Sends sealed bytes to a gateway, and gives its sealed answer.
-pub async fn dial_and_exchange(to: SocketAddr, sealed: Vec<u8>) -> io::Result<Vec<u8>> {
+/// A connection from this address, where it leads there.
+async fn connect(from: Option<IpAddr>, to: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let leads = |from: &IpAddr| {
+        !from.is_unspecified()
+            && from.is_ipv4() == to.is_ipv4()
+            && from.is_loopback() == to.ip().is_loopback()
+    };
+    let Some(from) = from.filter(leads) else { return Async::<TcpStream>::connect(to).await };
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    rustix::net::bind(&socket, &SocketAddr::new(from, 0))?;
+    match rustix::net::connect(&socket, &to) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let stream = Async::new(TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
+}
+
+/// Sends sealed bytes to a gateway, from an address of this machine if one is given, and gives its sealed answer.
+pub async fn dial_and_exchange(from: Option<IpAddr>, to: SocketAddr, sealed: Vec<u8>) -> io::Result<Vec<u8>> {
     let work = async {
-        let mut stream = Async::<TcpStream>::connect(to).await?;
+        let mut stream = connect(from, to).await?;
         write(&mut stream, &sealed).await?;
         read(&mut stream).await
     };
@@ -321,16 +371,35 @@
     future::or(work, late).await
 }
 
-/// Asks a gateway of this installation who is there, by its keys.
-pub fn who(to: SocketAddr, keys: &[Key]) -> Result<View, String> {
+/// Asks a gateway of this installation something, by its keys.
+fn ask(to: SocketAddr, keys: &[Key], what: &Stream) -> Result<Stream, String> {
     let sealer = Sealer::new(keys.to_vec(), Instance(rand::random()));
     let mut sealer = sealer.ok_or("there is no key to ask with")?;
-    let sealed = sealer.seal(unix(), &Stream::Who);
-    let answer = async_io::block_on(dial_and_exchange(to, sealed));
+    let sealed = sealer.seal(unix(), what);
+    let answer = async_io::block_on(dial_and_exchange(None, to, sealed));
     let answer = answer.map_err(|error| format!("the gateway at {to} does not answer: {error}"))?;
-    match sealer.open::<Stream>(unix(), &answer) {
-        Ok((_, Stream::View(view))) => Ok(view),
-        Ok(_) => Err(format!("the gateway at {to} answers with something else")),
-        Err(why) => Err(format!("the gateway at {to} gives an answer that is not believed: {why}")),
+    let opened = sealer.open::<Stream>(unix(), &answer);
+    opened
+        .map(|(_, said)| said)
+        .map_err(|why| format!("the gateway at {to} gives an answer that is not believed: {why}"))
+}
+
+fn something_else(to: SocketAddr) -> String {
+    format!("the gateway at {to} answers with something else")
+}
+
+/// Who is there, as a gateway sees it.
+pub fn who(to: SocketAddr, keys: &[Key]) -> Result<View, String> {
+    match ask(to, keys, &Stream::Who)? {
+        Stream::View(view) => Ok(view),
+        _ => Err(something_else(to)),
+    }
+}
+
+/// What a gateway knows of all counts.
+pub fn sums(to: SocketAddr, keys: &[Key]) -> Result<Vec<Sum>, String> {
+    match ask(to, keys, &Stream::Counts)? {
+        Stream::Sums(sums) => Ok(sums),
+        _ => Err(something_else(to)),
     }
 }
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -148,7 +148,7 @@
             desk,
             events: events.clone(),
             counter,
-            tally: shared.mesh.get().map(|_| Tally::new(shared.clock.now())),
+            tally: None,
             list,
             held: HashMap::new(),
             peers: BTreeMap::new(),
@@ -467,10 +467,12 @@
 
     /// An amount for a count: the other gateways are told, and the counter if there is any use in it.
     fn add(&mut self, mut add: Add) {
-        let mesh = self.shared.mesh.get().cloned();
-        if let (Some(tally), Some(mesh)) = (&mut self.tally, mesh) {
+        // The way to the others may come up later than this one.
+        if let Some(mesh) = self.shared.mesh.get().cloned() {
+            let now = self.desk.borrow().now;
+            let tally = self.tally.get_or_insert_with(|| Tally::new(now));
             let known = mesh.add(&add.count, add.amount, add.life);
-            match tally.add(self.desk.borrow().now, &add.count, add.amount, add.life, known) {
+            match tally.add(now, &add.count, add.amount, add.life, known) {
                 Step::Call(amount) => add.amount = amount,
                 Step::Known(total) => {
                     let end = Ok(Told::Total(total));
--- a/crates/gateway/src/transport/clock.rs
+++ b/crates/gateway/src/transport/clock.rs
@@ -1,6 +1,7 @@
 //! The time that the module is told.
 
 use std::cell::Cell;
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::Timer;
@@ -10,6 +11,56 @@
 /// Part of the time gone by that the clock may be set forth or back by: intervals come out right to that part.
 const SLEW: i64 = 64;
 
+/// What is done to this process's clocks in trials, and nowhere else: how far the shared one is set ahead, in microseconds,
+/// and how fast the even one runs, in millionths. It stands for a machine whose clocks are wrong, so it is the process's.
+static AHEAD: AtomicI64 = AtomicI64::new(0);
+static PACE: AtomicU64 = AtomicU64::new(RIGHT);
+const RIGHT: u64 = 1_000_000;
+
+/// Clocks that are wrong on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wrong {
+    /// Microseconds that the shared clock is ahead; behind, where it is below 0. It may step while the gateway runs.
+    pub ahead: i64,
+    /// Millionths of a second that the even clock counts in a true second; it is set once, at the start.
+    pub pace: u64,
+}
+
+impl Default for Wrong {
+    fn default() -> Self {
+        Wrong { ahead: 0, pace: RIGHT }
+    }
+}
+
+impl Wrong {
+    /// Sets the clocks of this process.
+    pub fn starts(self) {
+        PACE.store(self.pace, Ordering::Relaxed);
+        self.steps();
+    }
+
+    /// Sets the shared clock alone, as when somebody corrects it.
+    pub fn steps(self) {
+        AHEAD.store(self.ahead, Ordering::Relaxed);
+    }
+}
+
+/// Time of the even clock, for a true span of time.
+fn paced(span: Micros) -> Micros {
+    match PACE.load(Ordering::Relaxed) {
+        RIGHT => span,
+        pace => (u128::from(span) * u128::from(pace) / u128::from(RIGHT)) as Micros,
+    }
+}
+
+/// And the true span for one of the even clock.
+fn true_span(span: Micros) -> Micros {
+    match PACE.load(Ordering::Relaxed) {
+        RIGHT => span,
+        pace => (u128::from(span) * u128::from(RIGHT) / u128::from(pace.max(1))) as Micros,
+    }
+}
+
 /// Reads as the clock that all machines share, yet goes on evenly: where that one is set to another time, this one
 /// follows it slowly, and never runs back, or what is measured in between would stretch or end at once.
 #[derive(Debug)]
@@ -27,20 +78,36 @@
     }
 
     pub fn now(&self) -> Micros {
-        let since = micros(self.start.elapsed()) as i64;
+        let since = self.even() as i64;
         let ahead = follow(self.ahead.get(), since, shared());
         self.ahead.set((ahead, since));
         (since + ahead) as Micros
     }
 
+    /// Time since the start by the even clock alone, which nobody can set.
+    pub fn even(&self) -> Micros {
+        paced(micros(self.start.elapsed()))
+    }
+
     /// The instant of a time told by this clock.
     pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros((at as i64 - self.ahead.get().0).max(0) as u64)
+        self.even_instant((at as i64 - self.ahead.get().0).max(0) as u64)
+    }
+
+    /// The instant of a time told by the even clock.
+    pub fn even_instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(true_span(at))
     }
 }
 
 fn shared() -> i64 {
-    micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)) as i64
+    let told = micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)) as i64;
+    told + AHEAD.load(Ordering::Relaxed)
+}
+
+/// The clock that all machines share, as it is read here and now: it may be set to another time at any moment.
+pub fn unix() -> Micros {
+    shared().max(0) as Micros
 }
 
 /// How far ahead the clock is now, by how far it was some time ago and what the shared one says.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fernscale_tally::vectors::{Change, Instance, Vectors};
+use fernscale_tally::vectors::{Change, Instance, Vectors, LONGEST_NAME};
 use fernscale_tally::{Micros, MILLISECOND, SECOND};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::packet::{Full, News, Packet, Peer, State, Told, Word, MOST_BYTES};
+use crate::packet::{Full, News, Packet, Peer, State, Sum, Told, Word, MOST_BYTES, MOST_FULL};
 
 /// Each period one member is probed. A gateway that is gone is known so to its prober within two of these, and to all
 /// after the suspicion's time: half the time in which a front notices it, at the least.
@@ -53,6 +53,8 @@
 const MOST_DIRTY: usize = 32_768;
 /// Pings for others that are under way.
 const MOST_RELAYED: usize = 256;
+/// Sums that are told at once: each takes its name and less than twenty bytes.
+const MOST_SUMS: usize = MOST_FULL / (LONGEST_NAME + 20);
 /// Bytes of a datagram that its seal and head take; the rest is for what rides along.
 const HEAD: usize = 220;
 
@@ -250,6 +252,23 @@
         &self.counts
     }
 
+    /// The totals of all counts that live, in the order of their names; as many as go over a stream with certainty.
+    pub fn sums(&self, now: Micros) -> Vec<Sum> {
+        let mut sums: Vec<Sum> = Vec::new();
+        for (name, left, _, part) in self.counts.all(now) {
+            let room = sums.len() < MOST_SUMS;
+            match sums.last_mut() {
+                Some(sum) if *sum.count == **name => sum.total += part.net(),
+                _ if room => {
+                    let left_ms = (left / MILLISECOND) as u32;
+                    sums.push(Sum { count: name.to_string(), total: part.net(), left_ms });
+                }
+                _ => break,
+            }
+        }
+        sums
+    }
+
     fn tell(&mut self, Change { name, fresh }: Change, of: Instance) {
         // What changes all the time is told anew before it could be told often.
         let left = match (fresh, of == self.me.instance) {
--- a/crates/mesh/src/packet.rs
+++ b/crates/mesh/src/packet.rs
@@ -83,6 +83,18 @@
     /// Who is there? By an operator's tool that has the key.
     Who,
     View(View),
+    /// What is known of all counts? By an operator's tool, too.
+    Counts,
+    Sums(Vec<Sum>),
+}
+
+/// What all gateways together have added to a count, as far as one of them knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sum {
+    pub count: String,
+    pub total: f64,
+    /// Milliseconds that the count's name still lives.
+    pub left_ms: u32,
 }
 
 /// What a node sees, for people.
