Links between gateways break in the lab, and a judge hears the whole history of a fleet

Need: faults could only lie between a gateway and clients, servers, counter or discovery; what gateways say to each other was direct. Every fleet feature is to be shown by processes with faults between them. Change: each gateway tells the others a place of the lab's (mesh advertise), and each ordered pair has its own fate for datagrams and for streams; faults overlap and end by themselves; a parted fleet with bridges, and the counter and discovery on either side; pauses, clocks, folders, gateways that come, leave or are upgraded, operators' cordons; faults that wait for a record of a gateway's log. All that happens is one history of events that judges hear, that can be written down and judged again; the five rules are the first judge, members, reached and counts the second. A rack's keys are remembered for each group of lanes. A paused process explains a loss as a kill does. Found by scenario fleet-links, and mended in the mesh: (1) whoever could be heard by nobody for 5 s took all for gone, and once it was heard again others believed it (38 records of a gateway taken for gone that a majority could reach): that somebody is gone is now a suspicion until that has stood here for a second; (2) who starts to add to a count, and those who share one with a gateway that has ended, lacked parts that nobody tells any more (a sharer knew 169 of 203): those are told once to all who share the count. Ruled out for (1): to hold back the word of whoever hears no answers, as it also has to be right about the dead; for (2): more frequent exchanges of everything, which cost by the size of the fleet. Three tests fail without the mends.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! `model` has how each party behaves, without sockets or clocks; `live` drives the models on loopback.
 
+pub mod history;
+pub mod judges;
 pub mod ledger;
 pub mod live;
 pub mod mesh;
@@ -10,6 +12,7 @@
 pub mod report;
 pub mod scenario;
 pub mod store;
+pub mod storm;
 pub mod wire;
 
 /// Whole microseconds since the run began, or of a length of time. All parties of a run share one clock.
--- a/crates/lab/src/live/boxes.rs
+++ b/crates/lab/src/live/boxes.rs
@@ -13,6 +13,7 @@
 use super::door::Door;
 use super::stream::Stream;
 use super::{sleep, World};
+use crate::history::Event as Happens;
 use crate::ledger::Arrival;
 use crate::model::boxes::{Box_, End, Life, Told, Trip};
 use crate::model::front::{Kind, Lane};
@@ -98,7 +99,7 @@
             future::or(wait, more).await;
             let ended = self.model.borrow_mut().ended(self.world.now());
             for (ticket, end, wanted) in ended {
-                self.world.ledger.borrow_mut().ran(ticket as usize, end);
+                self.world.happens(Happens::Ran { trip: ticket as usize, end });
                 if let Some(waiter) = self.waiting.borrow_mut().remove(&ticket) {
                     let _ = waiter.try_send((end, wanted));
                 }
@@ -175,23 +176,27 @@
         let work = work.unwrap_or((lane.work as f64 * call.units) as Micros);
         let now = self.world.now();
         let arrival = Arrival { at: now, began, box_: self.name.clone(), gateway, id, work };
-        let number = self.world.ledger.borrow_mut().arrived(&arrival);
+        let number = self.world.happened(now, Happens::Arrived { arrival });
         let _out = Out(&self.world, number);
-        let key = call.key.clone().filter(|_| lane.kind == Kind::Labelled).map(|key| (key, lane.memory));
+        let key = call
+            .key
+            .clone()
+            .filter(|_| lane.kind == Kind::Labelled)
+            .map(|key| (key, lane.group, lane.memory));
         let trip = Trip { ticket: number as u64, customer: call.customer.clone(), key, work, fresh };
         let (done, ends) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(number as u64, done);
         let arrived = self.model.borrow_mut().arrive(now, trip);
         if self.model.borrow().fell() {
             // It takes down with it whatever it had, this trip as well.
-            self.world.ledger.borrow_mut().fell(&self.name, now);
+            self.world.happened(now, Happens::Fell { name: self.name.clone() });
             self.kill();
             return Err(io::Error::other("fell"));
         }
         let end = match arrived {
             Some(end) => {
                 self.waiting.borrow_mut().remove(&(number as u64));
-                self.world.ledger.borrow_mut().ran(number, end);
+                self.world.happens(Happens::Ran { trip: number, end });
                 end
             }
             None => {
@@ -206,7 +211,7 @@
                     None => {
                         let dropped = self.model.borrow_mut().give_up(number as u64);
                         if let Some(end) = dropped {
-                            self.world.ledger.borrow_mut().ran(number, end);
+                            self.world.happens(Happens::Ran { trip: number, end });
                         }
                         return Err(io::Error::other("the trip was given up"));
                     }
@@ -266,7 +271,7 @@
 
 impl Drop for Out<'_> {
     fn drop(&mut self) {
-        self.0.ledger.borrow_mut().over(self.1);
+        self.0.happens(Happens::Over { trip: self.1 });
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/live/faults.rs
@@ -0,0 +1,559 @@
+//! What is broken in a run, when, and until when. Every fault is told of before it is done, and its end after it, so that no
+//! effect of it falls outside.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io;
+use std::rc::Rc;
+
+use futures_lite::future;
+use serde_json::{json, Value};
+
+use super::play::Run;
+use super::way::Ill;
+use super::{boxes, counter, hostile, sleep};
+use crate::history::{Event, Goods};
+use crate::ledger::Link;
+use crate::model::counter::Ill as CounterBad;
+use crate::model::list::Status;
+use crate::scenario::*;
+use crate::{seed_of, Micros, MILLISECOND, SECOND};
+
+/// From SIGTERM on clients are dealt to a gateway for so long: the front hears of a planned restart a little later.
+const HEARD: Micros = 300 * MILLISECOND;
+/// After which a replaced box is gone for good.
+const GONE: Micros = 3 * SECOND;
+/// A link that loses so large a part, passes so few bytes a second, or takes so long on the mean holds nobody to reach
+/// the other: a probe's answer would not come back in time, by whichever way it goes.
+const HARDLY: f64 = 0.5;
+const SLOWEST: f64 = 20_000.0;
+const LATEST: Micros = 100 * MILLISECOND;
+
+impl Run {
+    /// Brings one fault about, and mends it.
+    pub(super) async fn fault(self: Rc<Self>, number: usize, fault: Fault, from: Micros) {
+        self.world.until(from + fault.at.0).await;
+        if let Some(when) = &fault.when {
+            if !self.waits.comes(when).await {
+                return self.faults.borrow_mut().never_came(number);
+            }
+        }
+        self.world.happens(Event::FaultBegins { number });
+        self.faults.borrow_mut().begun(number, self.world.now());
+        let felt = self.clone().harm(&fault).await;
+        self.world.happens(Event::FaultEnds { number });
+        self.faults.borrow_mut().ended(number, self.world.now(), felt);
+    }
+
+    /// Gives how often something met it, or 1 where that is not counted, or 0 where nobody was there.
+    async fn harm(self: Rc<Self>, fault: &Fault) -> u64 {
+        let for_ = fault.for_.map(|time| time.0);
+        match fault {
+            Fault { gateway: Some(gateway), .. } => self.clone().harm_gateways(gateway, for_).await,
+            Fault { boxes: Some(boxes), .. } => {
+                let mut tasks = Vec::new();
+                for (at, place) in boxes.which.iter().enumerate() {
+                    let run = self.clone();
+                    let (place, how, amount, wait) =
+                        (*place, boxes.how, boxes.amount, boxes.each.0 * at as u64);
+                    tasks.push(self.world.executor.spawn(async move {
+                        sleep(wait).await;
+                        run.harm_box(place, how, amount, for_).await;
+                    }));
+                }
+                for task in tasks {
+                    task.await;
+                }
+                1
+            }
+            Fault { counter: Some(ill), .. } => {
+                if let Some(counter) = &self.counter {
+                    self.harm_counter(ill, counter, for_).await;
+                }
+                1
+            }
+            Fault { discovery: Some(discovery), .. } => {
+                self.harm_discovery(discovery, for_).await;
+                1
+            }
+            Fault { link: Some(link), .. } => {
+                self.harm_links(|own| wanted(link, own), link_ill(link), for_).await
+            }
+            Fault { between: Some(between), .. } => {
+                let ways = self.ways_between(between);
+                self.harm_between(ways, between_ill(between), for_).await
+            }
+            Fault { fleet: Some(fleet), .. } => self.part(fleet, for_).await,
+            Fault { clock: Some(clock), .. } => {
+                self.set_clocks(clock, clock.off());
+                if let Some(time) = for_ {
+                    sleep(time).await;
+                    self.set_clocks(clock, 0);
+                }
+                clock.which.iter().filter(|own| self.gateways[**own as usize].runs()).count() as u64
+            }
+            Fault { load: Some(load), .. } => {
+                self.surge(load, for_).await;
+                1
+            }
+            Fault { hostile: Some(harm), .. } => {
+                self.harm_by_clients(harm, for_).await;
+                1
+            }
+            _ => 0,
+        }
+    }
+
+    async fn harm_discovery(&self, discovery: &DiscoveryFault, for_: Option<Micros>) {
+        let late = (discovery.amount * MILLISECOND as f64) as Micros;
+        discovery.which.iter().for_each(|gateway| match discovery.how {
+            DiscoveryIll::Silent => self.list.silence(*gateway, true),
+            DiscoveryIll::Late => self.list.delay(*gateway, late),
+        });
+        if let Some(time) = for_ {
+            sleep(time).await;
+            for gateway in &discovery.which {
+                self.list.silence(*gateway, false);
+                self.list.delay(*gateway, 0);
+            }
+        }
+    }
+
+    async fn surge(&self, load: &LoadFault, for_: Option<Micros>) {
+        let now = self.world.now();
+        self.front.with(|front| {
+            front.shift(&load.customers, load.shift);
+            front.surge(now, &load.customers, load.times);
+        });
+        if let Some(time) = for_ {
+            sleep(time).await;
+            let now = self.world.now();
+            self.front.with(|front| front.surge(now, &load.customers, 1.0));
+        }
+    }
+
+    async fn harm_by_clients(&self, harm: &HostileFault, for_: Option<Micros>) {
+        let usual = hostile::Usual {
+            lane: self.scenario.lanes.first().map(|lane| lane.name.clone()).unwrap_or_default(),
+            plan: self.scenario.plans.first().map(|plan| plan.name.clone()).unwrap_or_default(),
+        };
+        let tasks: Vec<_> = self
+            .gateways
+            .iter()
+            .map(|gateway| {
+                let how = hostile::Harming {
+                    a_second: harm.a_second,
+                    silent: harm.silent,
+                    usual: usual.clone(),
+                    seed: seed_of(self.scenario.seed, "hostile") + gateway.number as u64,
+                    slack: self.scenario.slack.time.0,
+                };
+                let (number, to) = (gateway.number, gateway.places.listen);
+                self.world.executor.spawn(hostile::harm(self.world.clone(), number, to, how))
+            })
+            .collect();
+        match for_ {
+            Some(time) => sleep(time).await,
+            None => future::pending().await,
+        }
+        drop(tasks);
+    }
+
+    fn set_clocks(&self, clock: &ClockFault, ahead: i64) {
+        for number in &clock.which {
+            if let Err(why) = self.gateways[*number as usize].set_clock(ahead) {
+                eprintln!("fernscale-lab: the clock of gateway {number} can't be set: {why}");
+            }
+        }
+    }
+
+    /// The ordered pairs that a fault between gateways is about, with the goods.
+    fn ways_between(&self, fault: &BetweenFault) -> BTreeSet<(u32, u32, Goods)> {
+        let all: Vec<u32> = (0..self.scenario.fleet.gateways).collect();
+        let to = if fault.to.is_empty() { &all } else { &fault.to };
+        let mut ways = BTreeSet::new();
+        for goods in [Goods::Datagrams, Goods::Streams] {
+            if fault.goods.is_some_and(|own| own != goods) {
+                continue;
+            }
+            for (from, to) in fault.from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to))) {
+                ways.extend((from != to).then_some((from, to, goods)));
+                ways.extend((from != to && fault.both).then_some((to, from, goods)));
+            }
+        }
+        ways
+    }
+
+    async fn harm_between(&self, ways: BTreeSet<(u32, u32, Goods)>, ill: Ill, for_: Option<Micros>) -> u64 {
+        let Some(between) = &self.between else { return 0 };
+        // So much is lost that nobody can be held to reach the other.
+        let parts = match ill {
+            Ill::Cut | Ill::Blackhole => true,
+            Ill::Lose(share) | Ill::Corrupt(share) => share >= HARDLY,
+            Ill::Throttle(rate) => rate < SLOWEST,
+            Ill::Delay { by, spread } => by + spread / 2 >= LATEST,
+            _ => false,
+        };
+        let tell = |on: bool| {
+            for (from, to, goods) in ways.iter().filter(|_| parts) {
+                self.world.happens(Event::Parts { from: *from, to: *to, goods: *goods, on });
+            }
+        };
+        tell(true);
+        let begun: Vec<_> = ways
+            .iter()
+            .map(|(from, to, goods)| {
+                let way = between.way(*from, *to, *goods);
+                let token = way.begin(ill);
+                (way, token)
+            })
+            .collect();
+        match for_ {
+            Some(time) => sleep(time).await,
+            None => self.world.until(Micros::MAX / 4).await,
+        }
+        let felt = begun.into_iter().map(|(way, token)| way.end(token)).sum();
+        tell(false);
+        felt
+    }
+
+    /// The fleet falls apart; the counter and discovery stand on one of the sides.
+    async fn part(self: Rc<Self>, fleet: &FleetFault, for_: Option<Micros>) -> u64 {
+        let all = 0..self.scenario.fleet.gateways;
+        let pairs = all.clone().flat_map(|one| all.clone().map(move |other| (one, other)));
+        let ways = pairs
+            .filter(|(one, other)| one != other && !fleet.joins(*one, *other))
+            .flat_map(|(one, other)| [Goods::Datagrams, Goods::Streams].map(|goods| (one, other, goods)));
+        let far = |link: &Link| match link {
+            Link::Counter(own) => fleet.out_of_reach(*own, LinkEnd::Counter),
+            Link::List(own) => fleet.out_of_reach(*own, LinkEnd::Discovery),
+            _ => false,
+        };
+        let links = self.harm_links(far, Ill::Blackhole, for_);
+        let (felt, _) = future::zip(self.harm_between(ways.collect(), Ill::Blackhole, for_), links).await;
+        felt
+    }
+
+    async fn harm_gateways(self: Rc<Self>, fault: &GatewayFault, for_: Option<Micros>) -> u64 {
+        let mut tasks = Vec::new();
+        for (at, number) in fault.which.iter().enumerate() {
+            let (run, number, wait) = (self.clone(), *number, fault.each.0 * at as u64);
+            let (how, folder) = (fault.how, fault.folder);
+            tasks.push(self.world.executor.spawn(async move {
+                sleep(wait).await;
+                let there = run.gateways[number as usize].runs();
+                run.stop_gateway(number, how, folder, for_).await;
+                u64::from(there != (how == Stop::Start))
+            }));
+        }
+        let mut felt = 0;
+        for task in tasks {
+            felt += task.await;
+        }
+        felt
+    }
+
+    async fn stop_gateway(&self, number: u32, how: Stop, folder: Folder, for_: Option<Micros>) {
+        let gateway = &self.gateways[number as usize];
+        let longest = self.lanes.iter().map(|lane| lane.hard_stop).max().unwrap_or(0);
+        let said = |what: &str, done: io::Result<()>| {
+            if let Err(why) = done {
+                eprintln!("fernscale-lab: gateway {number} {what}: {why}");
+            }
+        };
+        let starts = || {
+            said("can't have its folder so", gateway.mend_folder(folder));
+            said("does not start", gateway.start(&self.scenario, &self.list));
+            self.front.leave(number);
+        };
+        match how {
+            Stop::Pause if gateway.runs() => {
+                gateway.pause(true);
+                sleep(for_.unwrap_or(SECOND)).await;
+                gateway.pause(false);
+            }
+            Stop::Kill if gateway.runs() => {
+                self.world.happens(Event::Killed { gateway: number });
+                gateway.kill();
+                self.front.leave(number);
+                let Some(time) = for_ else { return };
+                sleep(time).await;
+                if !gateway.runs() {
+                    starts();
+                }
+            }
+            Stop::Restart | Stop::Leave if gateway.runs() => {
+                let (world, front) = (self.world.clone(), self.front.clone());
+                let own = world.clone();
+                world.spawn(async move {
+                    own.until(own.now() + HEARD).await;
+                    front.leave(number);
+                });
+                gateway.end(longest).await;
+                self.world.happens(Event::Ended { gateway: number });
+                if how == Stop::Restart {
+                    sleep(for_.unwrap_or(0)).await;
+                    starts();
+                }
+            }
+            Stop::Start if !gateway.runs() => starts(),
+            Stop::Upgrade if gateway.runs() => {
+                said("is not upgraded", gateway.upgrade(&self.scenario, &self.list, longest).await);
+            }
+            Stop::Keep => said("can't have its folder kept by", gateway.keep_folder()),
+            // Nobody is there to feel it.
+            _ => {}
+        }
+    }
+
+    async fn harm_box(self: Rc<Self>, place: u32, how: BoxIll, amount: f64, for_: Option<Micros>) {
+        let host = self.boxes.borrow()[place as usize].clone();
+        let mend = |host: &boxes::Host, amount: f64| {
+            host.with(|model| match how {
+                BoxIll::Slow => model.ills.slow = amount,
+                BoxIll::Fail => model.ills.fails = amount,
+                BoxIll::Busy => model.ills.busy = amount,
+                BoxIll::Silent => model.ills.silent = amount,
+                BoxIll::Garble => model.ills.garbles = amount,
+                _ => {}
+            });
+        };
+        match how {
+            BoxIll::Drain => {
+                self.list.list.borrow_mut().turn(&host.name, Status::Terminating);
+                host.with(|model| model.drain());
+                let Some(time) = for_ else { return };
+                sleep(time).await;
+                self.list.list.borrow_mut().turn(&host.name, Status::InService);
+                host.with(|model| model.serve_again());
+            }
+            BoxIll::Replace => {
+                self.list.list.borrow_mut().turn(&host.name, Status::Terminating);
+                host.with(|model| model.drain());
+                self.replaced.set(self.replaced.get() + 1);
+                let name = format!("box-{place}-{}", self.replaced.get());
+                match self.new_box(place, &name, Some(self.world.now()), &[]) {
+                    Ok(fresh) => self.boxes.borrow_mut()[place as usize] = fresh,
+                    Err(why) => eprintln!("fernscale-lab: {name} does not start: {why}"),
+                }
+                sleep(GONE).await;
+                self.list.list.borrow_mut().turn(&host.name, Status::Terminated);
+                host.kill();
+            }
+            BoxIll::Kill => {
+                host.kill();
+                let Some(time) = for_ else { return };
+                sleep(time).await;
+                let at: Vec<_> =
+                    (0..self.scenario.fleet.gateways).map(|gateway| host.address(gateway)).collect();
+                match self.new_box(place, &host.name, Some(self.world.now()), &at) {
+                    Ok(fresh) => self.boxes.borrow_mut()[place as usize] = fresh,
+                    Err(why) => eprintln!("fernscale-lab: {} does not start again: {why}", host.name),
+                }
+            }
+            BoxIll::Cordon => {
+                self.cordon(&host.name, true).await;
+                let Some(time) = for_ else { return };
+                sleep(time).await;
+                self.cordon(&host.name, false).await;
+            }
+            _ => {
+                mend(&host, amount);
+                let Some(time) = for_ else { return };
+                sleep(time).await;
+                mend(&host, if how == BoxIll::Slow { 1.0 } else { 0.0 });
+            }
+        }
+    }
+
+    async fn harm_counter(&self, fault: &CounterFault, counter: &Rc<counter::Host>, for_: Option<Micros>) {
+        let ill = match fault.how {
+            CounterIll::Busy => Some(CounterBad::Busy),
+            CounterIll::Silent => Some(CounterBad::Silent),
+            CounterIll::Deaf => Some(CounterBad::Deaf),
+            CounterIll::Slow => Some(CounterBad::Slow(fault.amount)),
+            CounterIll::Old => Some(CounterBad::Old((fault.amount * MILLISECOND as f64) as Micros)),
+            CounterIll::Garble => Some(CounterBad::Garbled),
+            _ => None,
+        };
+        match fault.how {
+            CounterIll::Refuse => counter.shut(),
+            CounterIll::Kill => {
+                counter.shut();
+                counter.each(|model| model.empty());
+            }
+            CounterIll::Empty => counter.each(|model| model.empty()),
+            CounterIll::Swap => counter.swap(),
+            CounterIll::Split => counter.split(&fault.which),
+            _ => {}
+        }
+        if let Some(ill) = ill {
+            counter.each(|model| model.ill = ill);
+        }
+        let Some(time) = for_ else { return };
+        sleep(time).await;
+        counter.each(|model| model.ill = CounterBad::Well);
+        counter.heal();
+        if let Err(why) = counter.reopen().await {
+            eprintln!("fernscale-lab: the counter does not come back: {why}");
+        }
+    }
+
+    /// The operators' word, at every gateway that runs.
+    async fn cordon(&self, name: &str, out: bool) {
+        for gateway in self.gateways.iter().filter(|gateway| gateway.runs()) {
+            if !gateway.cordon(name, out).await {
+                eprintln!("fernscale-lab: gateway {} does not take the word on {name}", gateway.number);
+            }
+        }
+    }
+
+    async fn harm_links(&self, wanted: impl Fn(&Link) -> bool, ill: Ill, for_: Option<Micros>) -> u64 {
+        let relays: Vec<_> = self.relays.borrow().iter().filter(|(link, _)| wanted(link)).cloned().collect();
+        let mut begun = Vec::new();
+        for (link, relay) in relays {
+            self.world.happens(Event::LinkBreaks { link: link.clone() });
+            let token = relay.begin(ill);
+            begun.push((link, relay, token));
+        }
+        let Some(time) = for_ else { return 1 };
+        sleep(time).await;
+        let mut felt = 0;
+        for (link, relay, token) in begun {
+            match relay.end(token).await {
+                Ok(count) => felt += count,
+                Err(why) => eprintln!("fernscale-lab: a link does not come back: {why}"),
+            }
+            self.world.happens(Event::LinkMends { link });
+        }
+        felt
+    }
+}
+
+fn wanted(fault: &LinkFault, link: &Link) -> bool {
+    let end = match link {
+        Link::Clients(_) => LinkEnd::Clients,
+        Link::Box_(..) => LinkEnd::Boxes,
+        Link::List(_) => LinkEnd::Discovery,
+        Link::Counter(_) => LinkEnd::Counter,
+    };
+    end == fault.to && fault.which.contains(&link.gateway())
+}
+
+fn ms(amount: f64) -> Micros {
+    (amount * MILLISECOND as f64) as Micros
+}
+
+fn link_ill(fault: &LinkFault) -> Ill {
+    match fault.how {
+        LinkIll::Cut => Ill::Cut,
+        LinkIll::Blackhole => Ill::Blackhole,
+        LinkIll::Reset => Ill::Reset,
+        LinkIll::Delay => Ill::Delay { by: ms(fault.amount), spread: 0 },
+        LinkIll::Throttle => Ill::Throttle(fault.amount),
+        LinkIll::Corrupt => Ill::Corrupt(fault.amount.clamp(0.0, 1.0)),
+    }
+}
+
+pub fn between_ill(fault: &BetweenFault) -> Ill {
+    match fault.how {
+        BetweenIll::Cut => Ill::Cut,
+        BetweenIll::Blackhole => Ill::Blackhole,
+        BetweenIll::Reset => Ill::Reset,
+        BetweenIll::Lose => Ill::Lose(fault.amount),
+        BetweenIll::Delay => Ill::Delay { by: ms(fault.amount), spread: ms(fault.spread) },
+        BetweenIll::Double => Ill::Double(fault.amount),
+        BetweenIll::Overtake => Ill::Overtake { share: fault.amount, by: ms(fault.spread) },
+        BetweenIll::Corrupt => Ill::Corrupt(fault.amount),
+        BetweenIll::Throttle => Ill::Throttle(fault.amount),
+    }
+}
+
+/// How the faults of a run went.
+pub(super) struct Faults(Vec<One>);
+
+struct One {
+    what: String,
+    lasts: Option<Micros>,
+    begun: Option<Micros>,
+    ended: Option<Micros>,
+    felt: u64,
+    never: bool,
+}
+
+impl Faults {
+    pub(super) fn of(scenario: &Scenario) -> Self {
+        let one = |fault: &Fault| One {
+            what: fault.kind().into(),
+            lasts: fault.for_.map(|time| time.0),
+            begun: None,
+            ended: None,
+            felt: 0,
+            never: false,
+        };
+        Faults(scenario.faults.iter().map(one).collect())
+    }
+
+    fn begun(&mut self, number: usize, at: Micros) {
+        self.0[number].begun = Some(at);
+    }
+
+    fn ended(&mut self, number: usize, at: Micros, felt: u64) {
+        (self.0[number].ended, self.0[number].felt) = (Some(at), felt);
+    }
+
+    fn never_came(&mut self, number: usize) {
+        self.0[number].never = true;
+    }
+
+    /// When the last of those that have begun has ended, or is to.
+    pub(super) fn last_end(&self) -> Micros {
+        let ends = self.0.iter().filter_map(|one| {
+            let begun = one.begun?;
+            one.ended.or(Some(begun + one.lasts.unwrap_or(0)))
+        });
+        ends.max().unwrap_or(0)
+    }
+
+    pub(super) fn shown(&self) -> Value {
+        let each = self.0.iter().map(|one| {
+            json!({ "what": one.what, "begun_us": one.begun, "ended_us": one.ended, "felt": one.felt,
+                "never_came": one.never })
+        });
+        json!({
+            "each": each.collect::<Vec<_>>(),
+            // Nobody was there to feel these, so that they prove nothing.
+            "unfelt": self.0.iter().filter(|one| one.ended.is_some() && one.felt == 0).count(),
+            // What these wait for was never said.
+            "never_came": self.0.iter().filter(|one| one.never).count(),
+        })
+    }
+}
+
+/// Who waits for a record of which event.
+#[derive(Default)]
+pub(super) struct Waits(RefCell<Vec<(When, async_channel::Sender<()>)>>);
+
+impl Waits {
+    /// Whether a record comes within the time that is waited for it.
+    async fn comes(&self, when: &When) -> bool {
+        let (heard, hears) = async_channel::bounded(1);
+        self.0.borrow_mut().push((when.clone(), heard));
+        let came = async { hears.recv().await.is_ok() };
+        let late = async {
+            sleep(when.within.0).await;
+            false
+        };
+        future::or(came, late).await
+    }
+
+    pub(super) fn heard(&self, gateway: u32, event: &str) {
+        self.0.borrow_mut().retain(|(when, heard)| {
+            let meant = when.event == event && when.gateway.is_none_or(|own| own == gateway);
+            if meant {
+                let _ = heard.try_send(());
+            }
+            !meant && !heard.is_closed()
+        });
+    }
+}
--- a/crates/lab/src/live/hostile.rs
+++ b/crates/lab/src/live/hostile.rs
@@ -10,6 +10,7 @@
 
 use super::stream::Stream;
 use super::{sleep, World};
+use crate::history::Event;
 use crate::ledger::Harm;
 use crate::wire;
 use crate::{Micros, SECOND};
@@ -95,7 +96,7 @@
             world.spawn(async move {
                 if let Some(got) = one(&own, to, bytes, slack).await {
                     let now = own.now();
-                    own.ledger.borrow_mut().harm(now, gateway, got);
+                    own.happened(now, Event::Harm { gateway, got });
                 }
             });
         }
--- a/crates/lab/src/live/load.rs
+++ b/crates/lab/src/live/load.rs
@@ -15,7 +15,6 @@
 use super::front::histogram;
 use super::stream::Stream;
 use super::{gateway, sleep, World};
-use crate::ledger::Ledger;
 use crate::report::quantiles;
 use crate::wire::{self, Answer, Call};
 use crate::{Micros, MILLISECOND, SECOND};
@@ -65,7 +64,7 @@
     let main = executor.clone();
     async_io::block_on(main.run(async {
         let state = Rc::new(State {
-            world: World::new(executor, Ledger::blind()),
+            world: World::blind(executor),
             idle: RefCell::default(),
             chance: RefCell::new(ChaCha8Rng::seed_from_u64(load.seed)),
             took: RefCell::new(histogram()),
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -1,19 +1,24 @@
 //! Drives the models on loopback, in one thread: whatever happens in a run has one order, which the ledger sees.
 
+pub mod ask;
+pub mod between;
 pub mod boxes;
 pub mod counter;
 pub mod door;
+pub mod faults;
 pub mod front;
 pub mod gateway;
 pub mod hostile;
 pub mod list;
 pub mod load;
 pub mod play;
+pub mod records;
 pub mod relay;
 pub mod rogue;
 pub mod stream;
+pub mod way;
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -24,13 +29,14 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 
+use crate::history::{Court, Event};
 use crate::ledger::Ledger;
 use crate::Micros;
 
 /// What all parties of a run share.
 pub struct World {
     pub executor: Rc<LocalExecutor<'static>>,
-    pub ledger: RefCell<Ledger>,
+    pub court: RefCell<Court>,
     /// The work of each transaction, for the boxes that do it.
     pub works: RefCell<HashMap<u64, Micros>>,
     start: Instant,
@@ -39,11 +45,11 @@
 }
 
 impl World {
-    pub fn new(executor: Rc<LocalExecutor<'static>>, ledger: Ledger) -> Rc<Self> {
+    pub fn new(executor: Rc<LocalExecutor<'static>>, court: Court) -> Rc<Self> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Rc::new(World {
             executor,
-            ledger: RefCell::new(ledger),
+            court: RefCell::new(court),
             works: RefCell::default(),
             start: Instant::now(),
             start_unix: unix.as_micros() as Micros,
@@ -54,6 +60,25 @@
         self.start.elapsed().as_micros() as Micros
     }
 
+    /// One whose court keeps and judges nothing.
+    pub fn blind(executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        World::new(executor, Court::of(Ledger::blind()))
+    }
+
+    /// Something happens now. Gives the number of a trip that arrived.
+    pub fn happens(&self, event: Event) -> usize {
+        self.happened(self.now(), event)
+    }
+
+    /// Something happened at this time, no earlier than what was told of before but for a few milliseconds.
+    pub fn happened(&self, at: Micros, event: Event) -> usize {
+        self.court.borrow_mut().hear(at, event)
+    }
+
+    pub fn ledger(&self) -> Ref<'_, Ledger> {
+        Ref::map(self.court.borrow(), |court| &court.ledger)
+    }
+
     pub async fn until(&self, at: Micros) {
         Timer::at(self.start + Duration::from_micros(at)).await;
     }
--- a/crates/lab/src/live/rogue.rs
+++ b/crates/lab/src/live/rogue.rs
@@ -13,7 +13,6 @@
 use super::door::Door;
 use super::stream::Stream;
 use super::{sleep, World};
-use crate::ledger::Ledger;
 use crate::wire::{self, Call, Value};
 use crate::{Micros, MILLISECOND, SECOND};
 
@@ -60,7 +59,7 @@
     };
     let (listen, discovery) = (address("listen")?, address("discovery")?);
     let executor = Rc::new(LocalExecutor::new());
-    let world = World::new(executor.clone(), Ledger::blind());
+    let world = World::blind(executor.clone());
     let rogue = Rc::new(Rogue {
         breaks,
         boxes: RefCell::default(),
--- a/crates/lab/src/live/stream.rs
+++ b/crates/lab/src/live/stream.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Where the other side is.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.io.get_ref().peer_addr().ok()
+    }
+
     pub fn finish(&self) {
         let _ = self.io.get_ref().shutdown(Shutdown::Write);
     }
--- a/crates/lab/src/model/front.rs
+++ b/crates/lab/src/model/front.rs
@@ -7,10 +7,11 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::{Micros, SECOND};
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Lane {
     pub name: String,
     pub kind: Kind,
@@ -24,21 +25,21 @@
     pub work: Micros,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     Redoable,
     Labelled,
     Irreversible,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Group {
     All,
     Zone,
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Plan {
     pub name: String,
     pub rate: f64,
@@ -70,7 +71,7 @@
 }
 
 /// One transaction that a client asks for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Ask {
     pub at: Micros,
     pub id: u64,
--- a/crates/lab/src/model/list.rs
+++ b/crates/lab/src/model/list.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     InService,
     Terminating,
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -178,7 +178,7 @@
 }
 
 /// What a client makes of a gateway's answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Answer {
     Settled(Vec<u8>),
     Nacked { wait_ms: Option<u64> },
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -118,6 +118,58 @@
     assert!(!gone, "{:?}", mesh.events);
 }
 
+#[test]
+fn who_can_be_heard_by_nobody_makes_nobody_gone_for_the_others_once_it_is_heard_again() {
+    let mut mesh = settled(8);
+    (0..8).filter(|other| *other != 2).for_each(|other| mesh.cut(2, other));
+    mesh.run(mesh.now + 6 * SECOND);
+    mesh.heal();
+    mesh.events.clear();
+    mesh.run(mesh.now + 12 * SECOND);
+    assert!(mesh.converged(), "{:?}", views(&mesh));
+    let gone: Vec<_> = mesh
+        .events
+        .iter()
+        .filter(|(_, at, event)| *at != 2 && matches!(event, Event::Gone(peer) if peer.name != "gateway-2"))
+        .collect();
+    assert!(gone.is_empty(), "{gone:?}");
+}
+
+#[test]
+fn who_starts_to_add_to_a_count_hears_of_the_parts_of_those_who_have_ended() {
+    let mut mesh = settled(4);
+    (0..3).for_each(|at| mesh.add(at, "n", 5.0, LIFE));
+    mesh.run(mesh.now + SECOND);
+    mesh.kill(2);
+    mesh.run(mesh.now + 8 * SECOND);
+    // Nothing of an exchange reaches it, as streams fail while any of these ways is cut.
+    mesh.kill(3);
+    mesh.start(3);
+    (0..3).for_each(|other| mesh.streams_fail(3, other));
+    mesh.run(mesh.now + 2 * SECOND);
+    assert_eq!(mesh.node(3).and_then(|node| node.total(mesh.now, "n")), None);
+    mesh.add(3, "n", 1.0, LIFE);
+    mesh.run(mesh.now + SECOND);
+    assert_eq!(mesh.node(3).and_then(|node| node.total(mesh.now, "n")), Some(16.0));
+}
+
+#[test]
+fn what_a_gone_one_added_last_comes_to_all_who_share_the_count() {
+    let mut mesh = settled(3);
+    (0..3).for_each(|at| mesh.add(at, "n", 1.0, LIFE));
+    mesh.run(mesh.now + SECOND);
+    // The last that it adds reaches one of the two, and it ends; what that one tells of it on is lost as well.
+    mesh.cut(2, 1);
+    mesh.cut(0, 1);
+    mesh.add(2, "n", 4.0, LIFE);
+    mesh.run(mesh.now + 200 * MILLISECOND);
+    mesh.kill(2);
+    mesh.heal();
+    (0..2).for_each(|one| mesh.streams_fail(one, 1 - one));
+    mesh.run(mesh.now + 6 * SECOND);
+    assert_eq!(mesh.node(1).and_then(|node| node.total(mesh.now, "n")), Some(7.0));
+}
+
 #[test]
 fn a_gateway_that_starts_again_is_another_and_what_it_added_before_stays() {
     let mut mesh = settled(3);
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -23,6 +23,8 @@
 /// Periods that a suspicion stands, for each doubling of the members: its refutation travels as far as it did.
 const SUSPICION: u64 = 3;
 const LEAST_SUSPICION: u64 = 5;
+/// What a suspicion's refutation takes to get here, at the least: the suspected one hears of it with somebody's next words.
+const REFUTED: Micros = PERIOD * LEAST_SUSPICION;
 /// How often counts are told, while there is something to tell: fractions are judged within a period of a second.
 const SPREAD: Micros = 50 * MILLISECOND;
 /// Members that each telling goes to, and datagrams to each. What is left waits for the next.
@@ -124,6 +126,8 @@
     order: u64,
     /// Nobody may have heard of it yet: everybody is to, once, so that those who share the count know of each other.
     fresh: bool,
+    /// Another's part, which it can't tell those who share the count itself.
+    direct: bool,
 }
 
 /// Parts for one address, in datagrams that are not too large.
@@ -282,7 +286,8 @@
             self.refused += 1;
             return;
         }
-        let dirty = self.dirty.entry((name, of)).or_insert(Dirty { left, changes: 0, order, fresh });
+        let dirty =
+            self.dirty.entry((name, of)).or_insert(Dirty { left, changes: 0, order, fresh, direct: false });
         (dirty.left, dirty.changes) = (dirty.left.max(left), dirty.changes + 1);
     }
 
@@ -300,11 +305,36 @@
                 continue;
             }
             if let Some(change) = self.counts.join(now, &count, of, part, life) {
+                if change.fresh {
+                    self.tell_newcomer(&change.name);
+                }
                 self.tell(change, of);
             }
         }
     }
 
+    /// Somebody new adds to a count: it is to hear of the part of this gateway, which may not change any more, and of the
+    /// parts of those who can't tell it themselves. Danger: whoever starts again would go by less than the total.
+    fn tell_newcomer(&mut self, count: &Arc<str>) {
+        let me = self.me.instance;
+        if self.counts.part(count, me).is_none() {
+            return;
+        }
+        let live = |of: &Instance| self.members.get(of).is_some_and(|member| member.state <= State::Suspect);
+        let silent: Vec<_> = self.counts.holders(count).filter(|of| !live(of)).collect();
+        for of in silent {
+            self.tell_holders(count.clone(), of);
+        }
+    }
+
+    /// A part is told once to all who have one of that count, by whoever has one itself.
+    fn tell_holders(&mut self, name: Arc<str>, of: Instance) {
+        self.tell(Change { name: name.clone(), fresh: false }, of);
+        if let Some(dirty) = self.dirty.get_mut(&(name, of)) {
+            dirty.direct = true;
+        }
+    }
+
     // Time.
 
     pub fn tick(&mut self, now: Micros) {
@@ -460,7 +490,7 @@
             };
             let Some(dirty) = self.dirty.get(&key).copied() else { continue };
             let (mut out, mut full) = (false, false);
-            if key.1 == me {
+            if key.1 == me || dirty.direct {
                 let sharing: Vec<_> =
                     self.counts.holders(&key.0).filter(|of| live.contains_key(of)).collect();
                 for of in sharing {
@@ -468,7 +498,7 @@
                     (out, full) = (out | sent, full | !sent);
                 }
             }
-            if key.1 != me || dirty.fresh || !out && !full {
+            if key.1 != me && !dirty.direct || dirty.fresh || !out && !full {
                 let sent = some.push(&told, MOST_DATAGRAMS);
                 (out, full) = (out | sent, full | !sent);
             }
@@ -559,7 +589,7 @@
             // It may know much that was never told here.
             self.out.push_back(Output::Exchange { to: sender.address });
         }
-        news.into_iter().for_each(|news| self.learn(now, news));
+        news.into_iter().for_each(|news| self.told_of(now, news));
         self.hear(now, counts);
         match word {
             Word::Ping(number) => self.send(now, from, Word::Ack(number)),
@@ -601,7 +631,22 @@
         self.members.get(&peer.instance).map_or(0, |member| member.incarnation)
     }
 
-    /// Takes in what is said of a member, if it is newer than what is known.
+    /// What others say of a member: that it is gone is taken for a suspicion until that has stood here for a while. Danger:
+    /// who can be heard by nobody takes all others for gone, and once it is heard again all would believe it.
+    fn told_of(&mut self, now: Micros, mut news: News) {
+        let known = self.members.get(&news.of.instance);
+        let doubted = known.is_some_and(|known| match known.state {
+            State::Alive => true,
+            State::Suspect => now < known.since + REFUTED,
+            State::Dead | State::Left => false,
+        });
+        if news.state == State::Dead && doubted && news.of.instance != self.me.instance {
+            news.state = State::Suspect;
+        }
+        self.learn(now, news);
+    }
+
+    /// Takes in what is so of a member, if it is newer than what is known.
     fn learn(&mut self, now: Micros, news: News) {
         let News { of, incarnation, state } = news;
         if of.instance == self.me.instance {
@@ -639,6 +684,9 @@
             // It comes back, as when a partition heals: both sides know what the other was not told.
             self.out.push_back(Output::Exchange { to: of.address });
         }
+        if state == State::Dead {
+            self.tell_for(of.instance);
+        }
         let event = match (was, state) {
             (State::Dead, State::Alive | State::Suspect) => Some(Event::Joined(of)),
             (State::Suspect, State::Alive) => Some(Event::Cleared(of)),
@@ -650,6 +698,17 @@
         self.out.extend(event.map(Output::Event));
     }
 
+    /// Whoever is gone can tell nothing any more: those who share a count with it tell each other what they know of its part.
+    fn tell_for(&mut self, gone: Instance) {
+        let me = self.me.instance;
+        let names: Vec<_> = self.counts.names_of(gone).collect();
+        for name in names {
+            if self.counts.part(&name, me).is_some() {
+                self.tell_holders(name, gone);
+            }
+        }
+    }
+
     fn take_in(&mut self, now: Micros, of: Peer, incarnation: u32, state: State) {
         let same_name =
             self.live().find(|member| member.peer.name == of.name && member.peer.address != of.address);
@@ -703,7 +762,7 @@
             return;
         }
         self.learn(now, News { of: from, incarnation, state: State::Alive });
-        news.into_iter().for_each(|news| self.learn(now, news));
+        news.into_iter().for_each(|news| self.told_of(now, news));
         self.hear(now, counts);
     }
 
--- a/crates/tally/src/vectors.rs
+++ b/crates/tally/src/vectors.rs
@@ -161,6 +161,12 @@
         self.counts.get(name).into_iter().flat_map(|count| count.parts.keys().copied())
     }
 
+    /// The counts that an instance has a part in.
+    pub fn names_of(&self, of: Instance) -> impl Iterator<Item = Arc<str>> + '_ {
+        let its = self.counts.iter().filter(move |(_, count)| count.parts.contains_key(&of));
+        its.map(|(name, _)| name.clone())
+    }
+
     /// What all together have added, as far as is known here.
     pub fn total(&self, now: Micros, name: &str) -> Option<f64> {
         let count = self.counts.get(name).filter(|count| count.ends > now)?;
