--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -90,6 +90,8 @@
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
         handover: OnceCell::new(),
+        speaks: config.mesh.is_some(),
+        untold: RefCell::default(),
         mesh: OnceCell::new(),
     });
     if let Some(settings) = &config.mesh {
@@ -176,7 +178,10 @@
     loop {
         Timer::after(LOOK).await;
         match Mesh::start(&shared, &name, gateways, &settings) {
-            Ok(mesh) => return drop(shared.mesh.set(mesh)),
+            Ok(mesh) => {
+                mesh.tells(shared.untold.take());
+                return drop(shared.mesh.set(mesh));
+            }
             Err(error) if error.kind() == ErrorKind::AddrInUse => {}
             Err(error) => {
                 let why = error.to_string();
--- a/crates/gateway/src/routing/mesh.rs
+++ b/crates/gateway/src/routing/mesh.rs
@@ -2,6 +2,7 @@
 //! What is said to whom, and what is believed of it, the packages `mesh` and `tally` decide.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
@@ -43,6 +44,24 @@
     pub keys: Vec<Key>,
 }
 
+/// Counts that wait for a way to the others: another process of this gateway speaks with them, until it ends.
+const MOST_UNTOLD: usize = 16_384;
+
+/// What the others are to be told of, by the count, and until when that lives.
+#[derive(Default)]
+pub struct Untold(BTreeMap<Box<str>, (f64, Micros)>);
+
+impl Untold {
+    /// At the bound a new count is not told of, as at the mesh's own.
+    pub fn add(&mut self, count: &str, amount: f64, ends: Micros) {
+        if let Some((untold, _)) = self.0.get_mut(count) {
+            *untold += amount;
+        } else if self.0.len() < MOST_UNTOLD {
+            self.0.insert(count.into(), (amount, ends));
+        }
+    }
+}
+
 pub struct Mesh {
     node: RefCell<Node>,
     sealer: RefCell<Sealer>,
@@ -107,6 +126,14 @@
         self.known(count)
     }
 
+    /// This gateway has added all this before it could speak.
+    pub fn tells(&self, untold: Untold) {
+        let now = self.shared.clock.now();
+        for (count, (amount, ends)) in untold.0 {
+            self.node.borrow_mut().add(now, &count, amount, ends.saturating_sub(now));
+        }
+    }
+
     pub fn known(&self, count: &str) -> Option<tally::Mesh> {
         let node = self.node.borrow();
         let total = node.total(self.shared.clock.now(), count)?;
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -58,6 +58,10 @@
     pub tickets: Cell<u64>,
     /// The way to the other processes of this gateway, where the clients' listening socket is passed on.
     pub handover: OnceCell<Rc<handover::Link>>,
+    /// There is to be a way to other gateways: at once, or when another process of this one has let it go.
+    pub speaks: bool,
+    /// What they are to be told as soon as there is.
+    pub untold: RefCell<mesh::Untold>,
     /// The way to other gateways, where there is one.
     pub mesh: OnceCell<Rc<mesh::Mesh>>,
 }
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -467,11 +467,10 @@
 
     /// An amount for a count: the other gateways are told, and the counter if there is any use in it.
     fn add(&mut self, mut add: Add) {
-        // The way to the others may come up later than this one.
-        if let Some(mesh) = self.shared.mesh.get().cloned() {
+        if self.shared.speaks {
             let now = self.desk.borrow().now;
+            let known = self.tell_others(now, &add.count, add.amount, add.life);
             let tally = self.tally.get_or_insert_with(|| Tally::new(now));
-            let known = mesh.add(&add.count, add.amount, add.life);
             match tally.add(now, &add.count, add.amount, add.life, known) {
                 Step::Call(amount) => add.amount = amount,
                 Step::Known(total) => {
@@ -483,20 +482,35 @@
         self.call(add);
     }
 
+    /// Tells the other gateways of an amount, and gives what all know of its count with that. While another process of this
+    /// gateway speaks with them the amounts are kept, and told once this one does.
+    fn tell_others(&self, now: Micros, count: &str, amount: f64, life: Micros) -> Option<tally::Mesh> {
+        match self.shared.mesh.get() {
+            Some(mesh) => mesh.add(count, amount, life),
+            None => {
+                self.shared.untold.borrow_mut().add(count, amount, now + life);
+                None
+            }
+        }
+    }
+
     /// What the module is to hear of a call's end.
     fn counted(&mut self, count: &str, (outcome, total): (Outcome, f64), took: Micros) -> (Outcome, f64) {
-        let mesh = self.shared.mesh.get().cloned();
-        let (Some(tally), Some(mesh)) = (&mut self.tally, mesh) else { return (outcome, total) };
+        let Some(tally) = &mut self.tally else { return (outcome, total) };
+        let mesh = self.shared.mesh.get();
         let end = match outcome {
             Outcome::Ok => End::Total(total),
             outcome if outcome.never_ran() => End::Never,
             _ => End::Maybe,
         };
         let before = tally.standing();
-        let told = tally.counted(self.desk.borrow().now, count, end, took, mesh.known(count));
+        let now = self.desk.borrow().now;
+        let told = tally.counted(now, count, end, took, mesh.and_then(|mesh| mesh.known(count)));
         let standing = tally.standing();
-        if standing != before {
+        if let Some(mesh) = mesh {
             mesh.standing.set(standing);
+        }
+        if standing != before {
             let (from, to) = (format!("{before:?}").to_lowercase(), format!("{standing:?}").to_lowercase());
             info!(self.shared.log, #"counter.stands", "the counter stands otherwise"; "from" => from, "to" => to);
         }
@@ -504,7 +518,7 @@
             tally::Told::Total(total) => (Outcome::Ok, total),
             tally::Told::Never(amount) => {
                 // The module takes it for not added, and adds it again itself: the others must not hear of it twice.
-                mesh.add(count, -amount, 0);
+                self.tell_others(now, count, -amount, 0);
                 (outcome, 0.0)
             }
             tally::Told::Maybe => (outcome, 0.0),
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -44,6 +44,8 @@
         next_wrong: Cell::new(Instant::now()),
         tickets: Cell::new(0),
         handover: Default::default(),
+        speaks: false,
+        untold: Default::default(),
         mesh: Default::default(),
     })
 }
--- a/crates/lab/src/live/play.rs
+++ b/crates/lab/src/live/play.rs
@@ -438,7 +438,14 @@
             peak = peak.max(own_peak);
             starts += gateway.starts.get();
             crashes += gateway.crashes.get();
-            gateway.end(longest).await;
+        }
+        let ends = self
+            .gateways
+            .iter()
+            .cloned()
+            .map(|gateway| self.world.executor.spawn(async move { gateway.end(longest).await }));
+        for end in ends.collect::<Vec<_>>() {
+            end.await;
         }
         let ledger = self.world.ledger();
         let counts_from = from + self.scenario.settle_in.0;
--- a/crates/lab/src/live/relay.rs
+++ b/crates/lab/src/live/relay.rs
@@ -138,10 +138,11 @@
                 Err(_) => return Err(()),
             }
             let mut part = std::mem::take(&mut from.bytes);
-            let mut chance = self.chance.borrow_mut();
-            way.spoil(&mut part, &mut chance);
-            let due = self.world.now() + way.stream_delay(&mut chance);
-            drop(chance);
+            let due = {
+                let mut chance = self.chance.borrow_mut();
+                way.spoil(&mut part, &mut chance);
+                self.world.now() + way.stream_delay(&mut chance)
+            };
             parts.send((due, part)).await.map_err(drop)?;
         }
     }
