Storms of faults drawn by seed and made smaller; the same schedule in virtual time agrees

Need: scenarios show what somebody thought of. Schedules of overlapping faults have to be drawn, kept, replayed and made smaller; and what holds for processes has to hold for the core in virtual time, where many more can be tried. Change: fernscale-lab storm draws from a scenario's [storm] menu, plays each, replays a failure three times and leaves faults out while it still fails; files by seed, so that it can be stopped and gone on with. A run with a mesh plays its faults in virtual time as well, before the same judge; scenarios claim that the verdicts agree.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod scenario;
 pub mod store;
 pub mod storm;
+pub mod virtual_time;
 pub mod wire;
 
 /// Whole microseconds since the run began, or of a length of time. All parties of a run share one clock.
--- a/crates/lab/src/live/faults.rs
+++ b/crates/lab/src/live/faults.rs
@@ -23,11 +23,6 @@
 const HEARD: Micros = 300 * MILLISECOND;
 /// After which a replaced box is gone for good.
 const GONE: Micros = 3 * SECOND;
-/// A link that loses so large a part, passes so few bytes a second, or takes so long on the mean holds nobody to reach
-/// the other: a probe's answer would not come back in time, by whichever way it goes.
-const HARDLY: f64 = 0.5;
-const SLOWEST: f64 = 20_000.0;
-const LATEST: Micros = 100 * MILLISECOND;
 
 impl Run {
     /// Brings one fault about, and mends it.
@@ -186,14 +181,7 @@
 
     async fn harm_between(&self, ways: BTreeSet<(u32, u32, Goods)>, ill: Ill, for_: Option<Micros>) -> u64 {
         let Some(between) = &self.between else { return 0 };
-        // So much is lost that nobody can be held to reach the other.
-        let parts = match ill {
-            Ill::Cut | Ill::Blackhole => true,
-            Ill::Lose(share) | Ill::Corrupt(share) => share >= HARDLY,
-            Ill::Throttle(rate) => rate < SLOWEST,
-            Ill::Delay { by, spread } => by + spread / 2 >= LATEST,
-            _ => false,
-        };
+        let parts = ill.parts();
         let tell = |on: bool| {
             for (from, to, goods) in ways.iter().filter(|_| parts) {
                 self.world.happens(Event::Parts { from: *from, to: *to, goods: *goods, on });
--- a/crates/lab/src/live/play.rs
+++ b/crates/lab/src/live/play.rs
@@ -23,6 +23,7 @@
 use crate::model::list::{Entry, Status};
 use crate::report;
 use crate::scenario::*;
+use crate::virtual_time;
 use crate::{seed_of, Micros, MILLISECOND, SECOND};
 
 pub struct Options {
@@ -62,6 +63,8 @@
 /// How often, and for how long at the most, gateways are asked in the end.
 const ASK_AGAIN: Micros = 200 * MILLISECOND;
 const ASKED: Micros = 5 * SECOND;
+/// What was added last is told to those who share the count within this: some times what one telling takes.
+const TOLD: Micros = 2 * SECOND;
 /// Gateways that are found by the others at first.
 const SEEDS: usize = 3;
 
@@ -376,8 +379,8 @@
     async fn ask_all(&self) {
         let began = self.world.now();
         let last = self.faults.borrow().last_end().max(self.last_start());
-        self.world.until(last + self.scenario.fleet.agree_within.0 + LOOK).await;
-        let until = self.world.now().max(began) + ASKED;
+        self.world.until((last + self.scenario.fleet.agree_within.0 + LOOK).max(began + TOLD)).await;
+        let until = self.world.now() + ASKED;
         for gateway in self.gateways.iter().filter(|gateway| gateway.runs()) {
             let Some(mesh) = &gateway.places.mesh else { continue };
             view(self.world.clone(), gateway.clone()).await;
@@ -394,6 +397,18 @@
         }
     }
 
+    /// The same faults in virtual time, and whether the verdicts agree.
+    fn virtually(&self) -> Value {
+        let (rules, left_out) = virtual_time::play(&self.scenario);
+        let court = self.world.court.borrow();
+        let here = court.rules();
+        let here = |name: &str| here.iter().find(|(own, _)| *own == name).map_or(0, |(_, own)| own.count);
+        let differ = rules.iter().filter(|(name, count)| (*count > 0) != (here(name) > 0)).count();
+        let mut shown = json!({ "differ": differ, "left_out": left_out });
+        rules.into_iter().for_each(|(name, count)| shown[name] = json!(count));
+        shown
+    }
+
     fn last_start(&self) -> Micros {
         self.gateways.iter().map(|gateway| gateway.started.get()).max().unwrap_or(0)
     }
@@ -500,6 +515,9 @@
         for (key, value) in own.as_object().into_iter().flatten() {
             report[key] = value.clone();
         }
+        if self.between.is_some() {
+            report["virtual"] = self.virtually();
+        }
         report["claims"] = report::claims(&report, &self.scenario.claims);
         let most = self.scenario.slack.behind.0;
         let late = behind.value_at_quantile(0.99);
--- a/crates/lab/src/live/way.rs
+++ b/crates/lab/src/live/way.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Micros, SECOND};
+use crate::{Micros, MILLISECOND, SECOND};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ill {
@@ -35,6 +35,25 @@
     },
 }
 
+/// A link that loses so large a part, passes so few bytes a second, or takes so long on the mean holds nobody to reach
+/// the other: a probe's answer would not come back in time, by whichever way it goes.
+const HARDLY: f64 = 0.5;
+const SLOWEST: f64 = 20_000.0;
+const LATEST: Micros = 100 * MILLISECOND;
+
+impl Ill {
+    /// Whether so little passes that nobody can be held to reach the other.
+    pub fn parts(self) -> bool {
+        match self {
+            Ill::Cut | Ill::Blackhole => true,
+            Ill::Lose(share) | Ill::Corrupt(share) => share >= HARDLY,
+            Ill::Throttle(rate) => rate < SLOWEST,
+            Ill::Delay { by, spread } => by + spread / 2 >= LATEST,
+            _ => false,
+        }
+    }
+}
+
 /// Bytes that may wait where a way is throttled; datagrams beyond it are lost, as in a full queue.
 const MOST_QUEUED: Micros = SECOND / 2;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -15,7 +15,8 @@
 use fernscale_lab::model::boxes::{alone, Box_, Cold, Spec};
 use fernscale_lab::model::front::{Group, Kind, Lane};
 use fernscale_lab::model::list::{Entry, Status};
-use fernscale_lab::{history, report, scenario, Micros};
+use fernscale_lab::scenario::Scenario;
+use fernscale_lab::{history, report, scenario, storm, Micros};
 
 /// Tries gateways: stand-ins for all they meet, a load, faults, and a ledger of the five rules.
 #[derive(Parser)]
@@ -33,6 +34,8 @@
     Load(Asked),
     /// Servers, discovery and a counter to try a gateway with, until Ctrl-C
     StandIns(StandIns),
+    /// Play storms of faults that are drawn from a scenario's menu, and make those that fail smaller
+    Storm(Storm),
     /// Judge a history that was kept, from its file alone
     Judge { history: PathBuf },
     /// Check scenario files without playing them
@@ -86,6 +89,20 @@
     again: u32,
 }
 
+#[derive(Args)]
+struct Storm {
+    scenario: PathBuf,
+    /// The first seed, and the last, as in 1..20
+    #[arg(long, default_value = "1..20", value_parser = seeds)]
+    seeds: (u64, u64),
+    /// Where each storm's scenario and outcome are kept; those that are there are not played again
+    #[arg(long, value_name = "DIR")]
+    folder: PathBuf,
+    /// The gateway's program with its arguments; the `fernscale` beside this program otherwise
+    #[arg(long, value_name = "COMMAND")]
+    gateway: Option<String>,
+}
+
 #[derive(Args)]
 struct Asked {
     /// Where the gateway listens
@@ -142,6 +159,13 @@
     humantime::parse_duration(text).map(|time| time.as_micros() as Micros).map_err(|why| why.to_string())
 }
 
+fn seeds(text: &str) -> Result<(u64, u64), String> {
+    let (first, last) = text.split_once("..").ok_or("two seeds are meant, as in 1..20")?;
+    let seed = |text: &str| text.parse::<u64>().map_err(|why| format!("'{text}': {why}"));
+    let (first, last) = (seed(first)?, seed(last)?);
+    (first <= last).then_some((first, last)).ok_or("the last seed is before the first".into())
+}
+
 const NOT_HELD: u8 = 1;
 const NOT_PLAYED: u8 = 2;
 const VOID: u8 = 3;
@@ -151,6 +175,7 @@
         Command::Run(run) => run_scenario(run),
         Command::Load(asked) => put_load(asked),
         Command::StandIns(asked) => stand_ins(asked),
+        Command::Storm(storm) => play_storms(storm),
         Command::Judge { history } => judge(&history),
         Command::Check { files } => check(&files),
         Command::Mesh { gateways, customers, adds, seed } => {
@@ -173,6 +198,17 @@
     })
 }
 
+/// What is run as a gateway.
+fn program(command: Option<String>) -> Result<Program, String> {
+    if let Some(command) = command {
+        let mut words = command.split_whitespace().map(String::from);
+        let path = words.next().ok_or("--gateway names no program")?.into();
+        return Ok(Program { path, arguments: words.collect() });
+    }
+    let path = beside_this("fernscale").ok_or("there is no program 'fernscale' beside this one")?;
+    Ok(Program { path, arguments: Vec::new() })
+}
+
 fn run_scenario(run: Run) -> Result<ExitCode, String> {
     let mut scenario = scenario::read(&run.scenario).map_err(|why| why.to_string())?;
     scenario.seed = run.seed.unwrap_or(scenario.seed);
@@ -180,17 +216,7 @@
         scenario.fleet.gateways = gateways;
         scenario.check("--gateways", "").map_err(|why| why.to_string())?;
     }
-    let program = match run.gateway {
-        Some(command) => {
-            let mut words = command.split_whitespace().map(String::from);
-            let path = words.next().ok_or("--gateway names no program")?.into();
-            Program { path, arguments: words.collect() }
-        }
-        None => {
-            let path = beside_this("fernscale").ok_or("there is no program 'fernscale' beside this one")?;
-            Program { path, arguments: Vec::new() }
-        }
-    };
+    let program = program(run.gateway)?;
     let options = Options { program, keep: run.keep, history: run.history, live: true };
     let mut left = run.again;
     let report = loop {
@@ -219,6 +245,91 @@
     })
 }
 
+/// Plays of a storm that failed once, and how many of them must fail for it to count.
+const AGAIN: u32 = 3;
+const MOST: u32 = 2;
+
+fn play_storms(asked: Storm) -> Result<ExitCode, String> {
+    let base = scenario::read(&asked.scenario).map_err(|why| why.to_string())?;
+    let menu = base.storm.clone().ok_or("the scenario has no [storm] to draw from")?;
+    std::fs::create_dir_all(&asked.folder).map_err(|why| why.to_string())?;
+    let options = Options { program: program(asked.gateway)?, keep: None, history: None, live: false };
+    let (first, last) = asked.seeds;
+    let bar = indicatif::ProgressBar::new(last - first + 1);
+    let style = indicatif::ProgressStyle::with_template("{pos} of {len} storms, {eta} left; {msg}");
+    bar.set_style(style.map_err(|why| why.to_string())?);
+    let (mut failed, mut unfelt, mut faults) = (Vec::new(), 0, 0);
+    for seed in first..=last {
+        let own = storm::draw(&base, &menu, seed);
+        faults += own.faults.len() as u64;
+        let outcome = one_storm(&asked.folder, &own, &options, &bar)?;
+        unfelt += outcome.unfelt;
+        if outcome.failed {
+            failed.push(format!("seed {seed}: {}", outcome.broken.first().cloned().unwrap_or_default()));
+        }
+        bar.set_message(format!("{} failed", failed.len()));
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    let all = last - first + 1;
+    println!("{all} storms, {faults} faults, {unfelt} that nobody felt; {} storms failed", failed.len());
+    failed.iter().for_each(|told| println!("  {told}"));
+    Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(NOT_HELD) })
+}
+
+/// Plays one storm, unless its outcome is there already.
+fn one_storm(
+    folder: &Path,
+    own: &Scenario,
+    options: &Options,
+    bar: &indicatif::ProgressBar,
+) -> Result<storm::Outcome, String> {
+    let told = |why: std::io::Error| why.to_string();
+    let file = |end: &str| folder.join(format!("storm-{}{end}", own.seed));
+    if let Ok(kept) = std::fs::read_to_string(file(".json")) {
+        if let Ok(outcome) = serde_json::from_str(&kept) {
+            return Ok(outcome);
+        }
+    }
+    let text = |scenario: &Scenario| toml::to_string(scenario).map_err(|why| why.to_string());
+    std::fs::write(file(".toml"), text(own)?).map_err(told)?;
+    let report = play(own, options).map_err(|why| why.to_string())?;
+    let mut outcome = storm::Outcome {
+        seed: own.seed,
+        failed: !report::holds(&report),
+        broken: report::broken(&report),
+        unfelt: report["faults"]["unfelt"].as_u64().unwrap_or(0),
+        again: None,
+        least: None,
+        void: !report["void"].is_null(),
+    };
+    // Claims on a void run say nothing; a broken rule is one on any machine.
+    outcome.failed &= !outcome.void || report["rules"]["broken"] != 0;
+    if outcome.failed {
+        let fails = |scenario: &Scenario, plays: u32, enough: u32| {
+            let mut failed = 0;
+            for play_ in 0..plays {
+                bar.set_message(format!("seed {}: {} faults, play {play_}", own.seed, scenario.faults.len()));
+                failed += play(scenario, options).is_ok_and(|report| !report::holds(&report)) as u32;
+                if failed >= enough {
+                    break;
+                }
+            }
+            failed
+        };
+        let again = fails(own, AGAIN, AGAIN);
+        outcome.again = Some((AGAIN, again));
+        if again >= MOST {
+            let least = storm::least(own, |fewer| fails(fewer, AGAIN, MOST) >= MOST);
+            outcome.least = Some(least.faults.len());
+            std::fs::write(file("-least.toml"), text(&least)?).map_err(told)?;
+        }
+    }
+    let kept = serde_json::to_string_pretty(&outcome).map_err(|why| why.to_string())?;
+    std::fs::write(file(".json"), kept).map_err(told)?;
+    Ok(outcome)
+}
+
 fn judge(file: &Path) -> Result<ExitCode, String> {
     let (head, court) = history::judge(file).map_err(|why| why.to_string())?;
     println!("{}, seed {}: {} events", head.scenario, head.seed, court.heard);
--- a/crates/lab/src/mesh.rs
+++ b/crates/lab/src/mesh.rs
@@ -12,6 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 
+use crate::history::Goods;
+use crate::live::way::Way;
 use crate::{Micros, MILLISECOND, SECOND};
 
 /// What the network does to datagrams; streams only fail where it is parted.
@@ -35,6 +37,8 @@
 
 /// Gateways that a customer comes through.
 const SPREAD: usize = 4;
+/// Packets that a paused process's socket holds, as systems commonly have it.
+const HELD: usize = 160;
 /// Bytes that a seal adds to a packet.
 const SEAL: usize = 45;
 
@@ -48,6 +52,10 @@
     cut: BTreeSet<(usize, usize)>,
     /// Pairs between which no stream comes up.
     streams: BTreeSet<(usize, usize)>,
+    /// What else is broken from one to another, by the same rules as between processes.
+    ways: BTreeMap<(usize, usize), [Way; 2]>,
+    /// What came to those who are paused.
+    paused: BTreeMap<usize, Vec<(SocketAddr, Come)>>,
     queue: BinaryHeap<Reverse<(Micros, u64)>>,
     due: BTreeMap<u64, (usize, SocketAddr, Come)>,
     ticks: Vec<Micros>,
@@ -60,7 +68,8 @@
     pub events: Vec<(Micros, usize, Event)>,
 }
 
-fn address(at: usize) -> SocketAddr {
+/// Where a node is, as others are told.
+pub fn address(at: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (at / 250) as u8, (at % 250) as u8 + 1], 7946))
 }
 
@@ -81,6 +90,8 @@
             weather: Weather::FAIR,
             cut: BTreeSet::new(),
             streams: BTreeSet::new(),
+            ways: BTreeMap::new(),
+            paused: BTreeMap::new(),
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
             ticks: vec![Micros::MAX; count],
@@ -96,6 +107,11 @@
         mesh
     }
 
+    /// It runs, and is not paused.
+    pub fn runs(&self, at: usize) -> bool {
+        self.nodes[at].is_some() && !self.paused.contains_key(&at)
+    }
+
     pub fn count(&self) -> usize {
         self.nodes.len()
     }
@@ -116,6 +132,7 @@
 
     pub fn kill(&mut self, at: usize) {
         self.nodes[at] = None;
+        self.paused.remove(&at);
     }
 
     pub fn leave(&mut self, at: usize) {
@@ -137,6 +154,38 @@
         self.streams.extend([(one, other), (other, one)]);
     }
 
+    /// What is broken from the first to the second: on datagrams, and on streams.
+    pub fn way(&mut self, from: usize, to: usize, goods: Goods) -> &Way {
+        &self.ways.entry((from, to)).or_default()[goods as usize]
+    }
+
+    fn stream_up(&self, from: usize, to: usize) -> bool {
+        let way = |one, other| {
+            let way = self.ways.get(&(one, other)).map(|ways| &ways[Goods::Streams as usize]);
+            way.is_none_or(|way| !way.held() && !way.cut())
+        };
+        to < self.count()
+            && !self.cut.contains(&(from, to))
+            && !self.cut.contains(&(to, from))
+            && !self.streams.contains(&(from, to))
+            && way(from, to)
+            && way(to, from)
+    }
+
+    /// A process stands still: what comes to it waits, as much as its sockets hold.
+    pub fn pause(&mut self, at: usize) {
+        self.paused.entry(at).or_default();
+    }
+
+    pub fn resume(&mut self, at: usize) {
+        for (from, come) in self.paused.remove(&at).unwrap_or_default() {
+            self.push(self.now, at, from, come);
+        }
+        // It has not looked at the time for as long.
+        self.ticks[at] = Micros::MAX;
+        self.plan(at);
+    }
+
     pub fn heal(&mut self) {
         self.cut.clear();
         self.streams.clear();
@@ -183,6 +232,17 @@
                     if place(to) >= self.count() || self.cut.contains(&(at, place(to))) {
                         continue;
                     }
+                    if let Some(ways) = self.ways.get(&(at, place(to))) {
+                        let way = &ways[Goods::Datagrams as usize];
+                        // Where a byte was changed the seal does not hold, and it is as good as lost.
+                        let come = way.datagram(self.now, vec![0; size], &mut self.chance);
+                        let whole = come.into_iter().filter(|(_, bytes)| bytes.iter().all(|byte| *byte == 0));
+                        for (due, _) in whole.collect::<Vec<_>>() {
+                            let due = due + self.delay();
+                            self.push(due, place(to), address(at), Come::Packet(packet.clone()));
+                        }
+                        continue;
+                    }
                     let copies = 1 + self.chance.gen_bool(self.weather.doubled) as u32;
                     for _ in 0..copies {
                         if !self.chance.gen_bool(self.weather.loss) {
@@ -193,10 +253,7 @@
                 }
                 Output::Exchange { to } => {
                     let (to, now) = (place(to), self.now);
-                    let parted = to >= self.count()
-                        || self.cut.contains(&(at, to))
-                        || self.cut.contains(&(to, at))
-                        || self.streams.contains(&(at, to));
+                    let parted = !self.stream_up(at, to) || self.paused.contains_key(&to);
                     let Some(node) = self.nodes[at].as_ref().filter(|_| !parted) else { continue };
                     let full = node.full(now);
                     self.bytes += postcard::to_stdvec(&full).map_or(0, |bytes| bytes.len() + SEAL) as u64;
@@ -216,6 +273,12 @@
             self.queue.pop();
             self.now = due;
             let Some((at, from, come)) = self.due.remove(&order) else { continue };
+            if let Some(held) = self.paused.get_mut(&at) {
+                if held.len() < HELD && !matches!(come, Come::Tick) {
+                    held.push((from, come));
+                }
+                continue;
+            }
             let now = self.now;
             let Some(node) = &mut self.nodes[at] else { continue };
             match come {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -219,6 +219,19 @@
     judged.collect::<Vec<_>>().into()
 }
 
+/// What broke, a line each: the first instance of each rule, and the claims that did not hold.
+pub fn broken(report: &Value) -> Vec<String> {
+    let rules = report["rules"].as_object().into_iter().flatten();
+    let rules = rules.filter_map(|(name, rule)| {
+        let count = rule["broken"].as_u64().filter(|count| *count > 0)?;
+        let first = rule["instances"].get(0).and_then(Value::as_str).unwrap_or_default();
+        Some(format!("{name}, {count} times: {first}"))
+    });
+    let claims = report["claims"].as_array().into_iter().flatten();
+    let claims = claims.filter(|claim| claim["held"] != json!(true));
+    rules.chain(claims.map(|claim| format!("claim: {} = {}", claim["name"], claim["value"]))).collect()
+}
+
 /// Whether a run kept the rules and its claims.
 pub fn holds(report: &Value) -> bool {
     let claims = report["claims"].as_array().into_iter().flatten();
--- a/crates/lab/src/scenario/check.rs
+++ b/crates/lab/src/scenario/check.rs
@@ -47,6 +47,9 @@
                 return Some((format!("faults[{at}]"), why));
             }
         }
+        if let Some(why) = self.storm.as_ref().and_then(|menu| menu.wrong(self)) {
+            return Some(("storm".into(), why));
+        }
         for claim in &self.claims {
             if claim.least.is_none() && claim.most.is_none() {
                 return Some((format!("claim '{}'", claim.name), "neither 'least' nor 'most'".into()));
--- a/crates/lab/src/scenario/faults.rs
+++ b/crates/lab/src/scenario/faults.rs
@@ -6,7 +6,7 @@
 use crate::history::Goods;
 
 /// Something that is broken on purpose; one of the kinds each.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Fault {
     pub at: Time,
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -1,11 +1,208 @@
-//! Storms: schedules of overlapping faults, drawn by seed from a menu.
+//! Storms: schedules of overlapping faults, drawn by seed from a menu. Each is an ordinary scenario that can be kept; one that
+//! fails is made smaller for as long as it still does.
 
+use std::collections::BTreeMap;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::scenario::*;
+use crate::{seed_of, Micros, MILLISECOND, SECOND};
+
 /// What storms are drawn from.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Menu {
     /// Faults of one storm.
     pub faults: u32,
+    /// The longest of them; the shortest lasts a twentieth of it.
+    pub longest: Time,
+    /// How often each kind is drawn, beside the others.
+    pub shares: BTreeMap<Kind, f64>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The fleet falls into two, now and then with one that sees both sides.
+    Part,
+    /// One is not heard by some, or does not hear them.
+    OneWay,
+    /// Datagrams of some are lost, late, doubled, overtaken or spoilt.
+    Lose,
+    Delay,
+    Double,
+    Overtake,
+    Corrupt,
+    /// Streams of some are cut.
+    Streams,
+    Pause,
+    Kill,
+    Restart,
+    /// One is away for a while, by its operators' will.
+    Leave,
+    Clock,
+    /// The counter says nothing.
+    Counter,
+    /// Discovery says nothing to some.
+    Discovery,
+    /// A box is replaced by a cold one.
+    Replace,
+}
+
+/// Times are drawn in steps of this, so that a schedule can be read.
+const STEP: Micros = 100 * MILLISECOND;
+
+impl Menu {
+    pub fn wrong(&self, scenario: &Scenario) -> Option<String> {
+        let sum: f64 = self.shares.values().sum();
+        if self.faults == 0 || sum <= 0.0 || self.shares.values().any(|share| *share < 0.0) {
+            return Some("a storm has a fault at the least, and shares that are not below 0".into());
+        }
+        if self.longest.0 < STEP || scenario.settle_in.0 + self.longest.0 >= scenario.lasts.0 {
+            return Some("the longest fault must end before the run does: make 'lasts' longer".into());
+        }
+        if self.shares.contains_key(&Kind::Counter) && scenario.counter.is_none() {
+            return Some("there is no counter that could be silent".into());
+        }
+        (!scenario.fleet.mesh).then(|| "storms break links between gateways: set 'mesh = true'".into())
+    }
+}
+
+/// The storm of this seed, as a scenario.
+pub fn draw(base: &Scenario, menu: &Menu, seed: u64) -> Scenario {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed_of(seed, "storm"));
+    let mut scenario = base.clone();
+    scenario.name = format!("{}-storm-{seed}", base.name);
+    scenario.seed = seed;
+    let kinds: Vec<(Kind, f64)> = menu.shares.iter().map(|(kind, share)| (*kind, *share)).collect();
+    for _ in 0..menu.faults {
+        let Ok((kind, _)) = kinds.choose_weighted(&mut chance, |(_, share)| *share) else { break };
+        scenario.faults.push(one(base, menu, *kind, &mut chance));
+    }
+    scenario.faults.sort_by_key(|fault| fault.at);
+    scenario
+}
+
+fn steps(chance: &mut ChaCha8Rng, from: Micros, to: Micros) -> Time {
+    Time(chance.gen_range(from / STEP..=(to / STEP).max(from / STEP)) * STEP)
+}
+
+fn one(base: &Scenario, menu: &Menu, kind: Kind, chance: &mut ChaCha8Rng) -> Fault {
+    let count = base.fleet.gateways;
+    let mut all: Vec<u32> = (0..count).collect();
+    all.shuffle(chance);
+    let some = |chance: &mut ChaCha8Rng, most: u32| -> Vec<u32> {
+        let mut those = all[..chance.gen_range(1..=most.clamp(1, count)) as usize].to_vec();
+        those.sort_unstable();
+        those
+    };
+    let lasts = steps(chance, menu.longest.0 / 20, menu.longest.0);
+    let at = steps(chance, base.settle_in.0, base.lasts.0 - lasts.0);
+    let mut fault = Fault { at, for_: Some(lasts), ..Fault::default() };
+    let between = |from: Vec<u32>, how: BetweenIll, amount: f64, spread: f64| BetweenFault {
+        from,
+        to: Vec::new(),
+        both: false,
+        how,
+        amount,
+        spread,
+        goods: None,
+    };
+    let stop =
+        |which: Vec<u32>, how: Stop| GatewayFault { which, how, folder: Folder::Kept, each: Time::default() };
+    let third = count.div_ceil(3);
+    match kind {
+        Kind::Part => {
+            let (one, other) = all.split_at(chance.gen_range(1..count.max(2)) as usize);
+            let mut groups = vec![one.to_vec(), other.to_vec()];
+            let mut bridges = Vec::new();
+            if chance.gen_bool(0.3) && !other.is_empty() {
+                bridges.push(other[0]);
+                groups[0].push(other[0]);
+            }
+            groups.iter_mut().for_each(|group| group.sort_unstable());
+            groups.retain(|group| !group.is_empty());
+            fault.fleet = Some(FleetFault { groups, bridges, counter: None, discovery: None });
+        }
+        Kind::OneWay => {
+            let (one, others) = (vec![all[0]], all[1..].to_vec());
+            let (from, to) = if chance.gen_bool(0.5) { (one, others) } else { (others, one) };
+            fault.between = Some(BetweenFault { to, ..between(from, BetweenIll::Blackhole, 1.0, 0.0) });
+        }
+        Kind::Lose => {
+            let share = f64::from(chance.gen_range(1..=4u32)) / 10.0;
+            fault.between = Some(between(some(chance, count), BetweenIll::Lose, share, 0.0));
+        }
+        Kind::Delay => {
+            let spread = f64::from(chance.gen_range(10..=150u32));
+            fault.between = Some(between(some(chance, count), BetweenIll::Delay, 5.0, spread));
+        }
+        Kind::Double => fault.between = Some(between(some(chance, count), BetweenIll::Double, 0.3, 0.0)),
+        Kind::Overtake => {
+            fault.between = Some(between(some(chance, count), BetweenIll::Overtake, 0.3, 80.0));
+        }
+        Kind::Corrupt => fault.between = Some(between(some(chance, third), BetweenIll::Corrupt, 0.2, 0.0)),
+        Kind::Streams => {
+            let cut = between(some(chance, count), BetweenIll::Cut, 1.0, 0.0);
+            fault.between =
+                Some(BetweenFault { goods: Some(crate::history::Goods::Streams), both: true, ..cut });
+        }
+        Kind::Pause => fault.gateway = Some(stop(some(chance, third), Stop::Pause)),
+        Kind::Kill => fault.gateway = Some(stop(some(chance, third), Stop::Kill)),
+        Kind::Restart => fault.gateway = Some(stop(some(chance, third), Stop::Restart)),
+        Kind::Leave => fault.gateway = Some(stop(vec![all[0]], Stop::Restart)),
+        Kind::Clock => {
+            let off = steps(chance, SECOND / 2, 8 * SECOND);
+            let (ahead, behind) = if chance.gen_bool(0.5) { (off, Time(0)) } else { (Time(0), off) };
+            fault.clock = Some(ClockFault { which: some(chance, third), ahead, behind });
+        }
+        Kind::Counter => {
+            fault.counter = Some(CounterFault { how: CounterIll::Silent, amount: 1.0, which: Vec::new() });
+        }
+        Kind::Discovery => {
+            let which = some(chance, count);
+            fault.discovery = Some(DiscoveryFault { which, how: DiscoveryIll::Silent, amount: 1.0 });
+        }
+        Kind::Replace => {
+            let which = vec![chance.gen_range(0..base.fleet.boxes)];
+            fault.boxes =
+                Some(BoxesFault { which, how: BoxIll::Replace, each: Time::default(), amount: 1.0 });
+        }
+    }
+    fault
+}
+
+/// Leaves faults out for as long as what is left still fails, by what `fails` says of it; the latest first, as what came
+/// before them may be what they need.
+pub fn least(scenario: &Scenario, mut fails: impl FnMut(&Scenario) -> bool) -> Scenario {
+    let mut kept = scenario.clone();
+    let mut at = kept.faults.len();
+    while at > 0 {
+        at -= 1;
+        let mut fewer = kept.clone();
+        fewer.faults.remove(at);
+        if fails(&fewer) {
+            kept = fewer;
+        }
+    }
+    kept
+}
+
+/// What came of a storm, as it is kept beside its file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Outcome {
+    pub seed: u64,
+    pub failed: bool,
+    /// What broke, a line each.
+    pub broken: Vec<String>,
+    /// Faults that nobody was there to feel, so that they prove nothing.
+    pub unfelt: u64,
+    /// Of how many plays how many failed, where one did.
+    pub again: Option<(u32, u32)>,
+    /// Faults that are left of it.
+    pub least: Option<usize>,
+    pub void: bool,
 }
