--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! `model` has how each party behaves, without sockets or clocks; `live` drives the models on loopback.
 
+pub mod explore;
 pub mod history;
 pub mod judges;
 pub mod ledger;
 pub mod live;
 pub mod mesh;
 pub mod model;
+pub mod owners;
 pub mod report;
 pub mod scenario;
 pub mod store;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 
 use async_executor::LocalExecutor;
 use clap::{Args, Parser, Subcommand};
+use fernscale_lab::explore::{explore, Bounds};
 use fernscale_lab::live::gateway::Program;
 use fernscale_lab::live::load::{Load, Pace};
 use fernscale_lab::live::play::{beside_this, play, Options};
@@ -15,6 +16,7 @@
 use fernscale_lab::model::boxes::{alone, Box_, Cold, Spec};
 use fernscale_lab::model::front::{Group, Kind, Lane};
 use fernscale_lab::model::list::{Entry, Status};
+use fernscale_lab::owners::{Owners, Seeded, Trouble};
 use fernscale_lab::scenario::Scenario;
 use fernscale_lab::{history, report, scenario, storm, Micros};
 
@@ -40,6 +42,8 @@
     Judge { history: PathBuf },
     /// Check scenario files without playing them
     Check { files: Vec<PathBuf> },
+    /// Look at every interleaving of three voters and two that want a job, within bounds
+    Explore(Explore),
     /// Measure the mesh in virtual time, for so many gateways
     Mesh {
         #[arg(long, default_values_t = [3, 30, 300])]
@@ -89,6 +93,38 @@
     again: u32,
 }
 
+#[derive(Args)]
+struct Explore {
+    /// A mistake that is to be found
+    #[arg(long, default_value = "none")]
+    seeded: Seeded,
+    /// How much may be out of the usual in one run, all in all
+    #[arg(long, default_value_t = 3)]
+    odd: u32,
+    /// Messages that are lost, and doubled; voters that end and start again; moves of the clock; effects of each owner
+    #[arg(long, default_value_t = 1)]
+    lost: u32,
+    #[arg(long, default_value_t = 1)]
+    doubled: u32,
+    #[arg(long, default_value_t = 9)]
+    overtaken: u32,
+    #[arg(long, default_value_t = 9)]
+    jumps: u32,
+    #[arg(long, default_value_t = 1)]
+    crashes: u32,
+    #[arg(long, default_value_t = 6)]
+    advances: u32,
+    #[arg(long, default_value_t = 1)]
+    effects: u32,
+    /// Whoever starts again has lost its folder
+    #[arg(long)]
+    lose_folder: bool,
+    #[arg(long, default_value_t = 200)]
+    depth: usize,
+    #[arg(long, default_value_t = 5_000_000)]
+    states: usize,
+}
+
 #[derive(Args)]
 struct Storm {
     scenario: PathBuf,
@@ -176,6 +212,7 @@
         Command::Load(asked) => put_load(asked),
         Command::StandIns(asked) => stand_ins(asked),
         Command::Storm(storm) => play_storms(storm),
+        Command::Explore(asked) => Ok(look(&asked)),
         Command::Judge { history } => judge(&history),
         Command::Check { files } => check(&files),
         Command::Mesh { gateways, customers, adds, seed } => {
@@ -330,6 +367,21 @@
     Ok(outcome)
 }
 
+fn look(asked: &Explore) -> ExitCode {
+    let Explore { odd, lost, doubled, overtaken, jumps, crashes, advances, effects, lose_folder, .. } =
+        *asked;
+    let trouble = Trouble { odd, lost, doubled, overtaken, jumps, crashes, lose_folder, advances, effects };
+    let start = Owners::new(asked.seeded, trouble);
+    let found = explore(start, Bounds { depth: asked.depth, states: asked.states });
+    let a_second = found.states as f64 / found.seconds.max(1e-9);
+    let whole = if found.whole { "all of them" } else { "not all of them" };
+    println!("{} states, {whole}, {a_second:.0} a second, {:.1} s", found.states, found.seconds);
+    let Some((wrong, steps)) = found.wrong else { return ExitCode::SUCCESS };
+    println!("wrong: {wrong}, after {} steps", steps.len());
+    Owners::new(asked.seeded, trouble).told(&steps).iter().for_each(|step| println!("  {step}"));
+    ExitCode::from(NOT_HELD)
+}
+
 fn judge(file: &Path) -> Result<ExitCode, String> {
     let (head, court) = history::judge(file).map_err(|why| why.to_string())?;
     println!("{}, seed {}: {} events", head.scenario, head.seed, court.heard);
--- /dev/null
+++ b/crates/lab/src/owners.rs
@@ -0,0 +1,480 @@
+//! Owners of jobs, small enough that every interleaving can be looked at: three voters, two that want one job, a network that
+//! reorders, loses and doubles, a voter that ends and starts again with its folder kept or lost, clocks that run unevenly,
+//! and effects that come as late as they like. It runs the code that gateways run; what it does wrong on purpose is done
+//! around that code, as a shell would do it wrong.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fernscale_owner::claimer::{Claimer, Event, Output as Wants};
+use fernscale_owner::guard::{Admit, Guard};
+use fernscale_owner::message::{Ask, Say};
+use fernscale_owner::voter::{Durable, Output, Voter};
+use fernscale_owner::{Fence, Micros, Name, Run, Terms, MILLISECOND};
+
+use crate::explore::System;
+
+/// A mistake that the explorer must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, clap::ValueEnum)]
+pub enum Seeded {
+    None,
+    /// A voter answers before its promise is durable.
+    EarlyAnswer,
+    /// A voter that has lost its folder votes on.
+    Forgets,
+    /// A gateway starts again as the run that it was.
+    Reused,
+    /// Effects are taken in whatever their fence.
+    NoFence,
+    /// The owner's lease is as long as the voters', though clocks run unevenly.
+    NoMargin,
+}
+
+/// What may happen beside messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    /// How much may be out of the usual in one run, all in all: a message that is overtaken, lost or doubled, a voter that
+    /// ends, a clock that moves on before all that was sent has come.
+    pub odd: u32,
+    pub lost: u32,
+    pub doubled: u32,
+    pub overtaken: u32,
+    /// Times that the clock moves on before all has come, or past what is due.
+    pub jumps: u32,
+    /// Voters that end and start again.
+    pub crashes: u32,
+    /// They start with an empty folder.
+    pub lose_folder: bool,
+    /// Times that the clock moves on.
+    pub advances: u32,
+    /// Effects that each owner sets out to do.
+    pub effects: u32,
+}
+
+const VOTERS: usize = 3;
+const CLAIMERS: usize = 2;
+/// So short that a claim is given up before it is asked again: what is asked again is only more of the same.
+const LEASE: Micros = 240 * MILLISECOND;
+/// Voters' clocks run faster than claimers' by this, and the leases' bound on that, in millionths.
+const FASTER: u64 = 100_000;
+const DRIFT: u64 = 150_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Message {
+    Ask { to: usize, from: Run, ask: Ask },
+    Say { to: usize, from: usize, say: Say },
+    Answer { to: usize, from: usize, say: Say },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Deliver(usize),
+    Lose(usize),
+    Double(usize),
+    /// The oldest write of a voter becomes durable.
+    Sync(usize),
+    Crash(usize),
+    Restart(usize),
+    Advance(Micros),
+    /// An owner looks at its lease, and sets out to do something.
+    Act(usize),
+    /// What it does comes to where it has its effect.
+    Comes(usize),
+}
+
+#[derive(Clone, Hash)]
+pub struct Owners {
+    seeded: Seeded,
+    /// How many things may still be out of the usual.
+    odd: u32,
+    left: [u32; 6],
+    lose_folder: bool,
+    effects: [u32; CLAIMERS],
+    now: Micros,
+    voters: Vec<Option<Voter>>,
+    disks: Vec<Durable>,
+    writes: Vec<VecDeque<(u64, Durable)>>,
+    starts: u64,
+    claimers: Vec<Claimer>,
+    net: Vec<Message>,
+    /// Effects on their way: they come as late as they like.
+    acts: Vec<Fence>,
+    guard: Guard,
+    /// The highest effect that was taken in, and what went wrong.
+    done: Option<Fence>,
+    owners: BTreeMap<u64, Run>,
+    gained: Vec<Fence>,
+    wrong: Option<String>,
+}
+
+fn names() -> Vec<Name> {
+    ["a", "b", "c"].into_iter().map(Name::from).collect()
+}
+
+fn job() -> Name {
+    "job".into()
+}
+
+impl Owners {
+    pub fn new(seeded: Seeded, trouble: Trouble) -> Self {
+        let mut owners = Owners {
+            seeded,
+            odd: trouble.odd,
+            left: [
+                trouble.lost,
+                trouble.doubled,
+                trouble.crashes,
+                trouble.advances,
+                trouble.overtaken,
+                trouble.jumps,
+            ],
+            lose_folder: trouble.lose_folder,
+            effects: [trouble.effects; CLAIMERS],
+            now: 0,
+            voters: vec![None; VOTERS],
+            disks: vec![Durable::default(); VOTERS],
+            writes: vec![VecDeque::new(); VOTERS],
+            starts: 0,
+            claimers: Vec::new(),
+            net: Vec::new(),
+            acts: Vec::new(),
+            guard: Guard::default(),
+            done: None,
+            owners: BTreeMap::new(),
+            gained: Vec::new(),
+            wrong: None,
+        };
+        // They are let in at first, all together, and long before anybody wants anything.
+        (0..VOTERS).for_each(|at| owners.start(at));
+        while !owners.voters.iter().flatten().all(Voter::votes) {
+            owners.tick();
+            while !owners.net.is_empty() {
+                owners.take(&Step::Deliver(0));
+            }
+            while let Some(Step::Sync(at)) = owners.usual() {
+                owners.take(&Step::Sync(at));
+            }
+            owners.now += 100 * MILLISECOND;
+        }
+        owners.now += 10 * LEASE;
+        for at in 0..CLAIMERS {
+            let terms = Terms { lease: LEASE, drift: if seeded == Seeded::NoMargin { 0 } else { DRIFT } };
+            let mut claimer = Claimer::new(Run(100 + at as u64), &names(), terms, 7);
+            claimer.want(owners.now, &job(), 0);
+            owners.claimers.push(claimer);
+        }
+        owners.tick();
+        owners.odd = trouble.odd;
+        owners
+    }
+
+    fn voter_time(&self) -> Micros {
+        self.now + self.now * FASTER / 1_000_000
+    }
+
+    fn start(&mut self, at: usize) {
+        self.starts += 1;
+        let terms = Terms { lease: LEASE, drift: DRIFT };
+        let voter = Voter::start(
+            &names()[at],
+            Run(self.starts),
+            &names(),
+            terms,
+            self.disks[at].clone(),
+            self.voter_time(),
+        );
+        self.voters[at] = Some(voter);
+        self.writes[at].clear();
+    }
+
+    fn place(name: &Name) -> usize {
+        names().iter().position(|own| own == name).unwrap_or(0)
+    }
+
+    fn send(&mut self, message: Message) {
+        self.net.push(message);
+    }
+
+    /// All that is due now.
+    fn tick(&mut self) {
+        let time = self.voter_time();
+        for at in 0..VOTERS {
+            if let Some(voter) = &mut self.voters[at] {
+                voter.tick(time);
+            }
+            self.carry_voter(at);
+        }
+        for at in 0..self.claimers.len() {
+            self.claimers[at].tick(self.now);
+            self.carry_claimer(at);
+        }
+    }
+
+    fn carry_voter(&mut self, at: usize) {
+        while let Some(output) = self.voters[at].as_mut().and_then(Voter::take) {
+            match output {
+                Output::Write { number, durable } => {
+                    self.writes[at].push_back((number, durable));
+                    if self.seeded == Seeded::EarlyAnswer {
+                        let time = self.voter_time();
+                        if let Some(voter) = &mut self.voters[at] {
+                            voter.synced(time, number, true);
+                        }
+                    }
+                }
+                Output::Say { to, say } => {
+                    let of = self.claimers.iter().position(|claimer| claimer.run() == to);
+                    if let Some(to) = of {
+                        self.send(Message::Say { to, from: at, say });
+                    }
+                }
+                // What voters tell each other of their writes matters only to a folder from before.
+                Output::Ask { ask: Ask::Wrote { .. }, .. } => {}
+                Output::Ask { to, ask } => {
+                    self.send(Message::Ask { to: Owners::place(&to), from: Run(at as u64), ask });
+                }
+                Output::Answer { to, say } => {
+                    self.send(Message::Answer { to: Owners::place(&to), from: at, say });
+                }
+                Output::Event(_) => {}
+            }
+        }
+    }
+
+    fn carry_claimer(&mut self, at: usize) {
+        while let Some(wanted) = self.claimers[at].take() {
+            match wanted {
+                Wants::Ask { to, ask } => {
+                    let from = self.claimers[at].run();
+                    self.send(Message::Ask { to: Owners::place(&to), from, ask });
+                }
+                Wants::Event(Event::Owns { fence, .. }) => self.owns(fence),
+                Wants::Event(_) => {}
+            }
+        }
+    }
+
+    fn owns(&mut self, fence: Fence) {
+        if *self.owners.entry(fence.term).or_insert(fence.run) != fence.run {
+            self.wrong = Some(format!("term {} has two owners", fence.term));
+        }
+        if let Some(before) = self.gained.iter().max().filter(|before| **before >= fence) {
+            self.wrong = Some(format!("term {} was won after term {}", fence.term, before.term));
+        }
+        self.gained.push(fence);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let time = self.voter_time();
+        match message {
+            Message::Ask { to, from, ask } => {
+                if let Some(voter) = &mut self.voters[to] {
+                    voter.asked(time, from, ask);
+                }
+                self.carry_voter(to);
+            }
+            Message::Answer { to, from, say } => {
+                if let Some(voter) = &mut self.voters[to] {
+                    voter.answered(&names()[from], say);
+                }
+                self.carry_voter(to);
+            }
+            Message::Say { to, from, say } => {
+                self.claimers[to].said(self.now, &names()[from], say);
+                self.carry_claimer(to);
+            }
+        }
+    }
+
+    fn comes(&mut self, fence: Fence) {
+        let admitted = match self.seeded {
+            Seeded::NoFence => true,
+            _ => matches!(self.guard.admit(&job(), fence), Admit::Known | Admit::Higher),
+        };
+        if admitted {
+            if self.done.is_some_and(|done| done > fence) {
+                self.wrong = Some(format!("an effect of term {} came after a later one's", fence.term));
+            }
+            self.done = self.done.max(Some(fence));
+        }
+    }
+
+    /// What comes next where nothing is out of the usual: what was written is durable, messages come in their order, and
+    /// where there are none, time goes on to what is due next.
+    fn usual(&self) -> Option<Step> {
+        if let Some(at) = (0..VOTERS).find(|at| !self.writes[*at].is_empty()) {
+            return Some(Step::Sync(at));
+        }
+        if !self.net.is_empty() {
+            return Some(Step::Deliver(0));
+        }
+        if let Some(at) = (0..VOTERS).find(|at| self.voters[*at].is_none()) {
+            return Some(Step::Restart(at));
+        }
+        let first = self.dues().into_iter().min()?;
+        (self.left[3] > 0).then_some(Step::Advance(first))
+    }
+
+    /// Times to which the clock may move: past some of them, as if everybody had stood still.
+    fn dues(&self) -> std::collections::BTreeSet<Micros> {
+        let claimers = self.claimers.iter().filter_map(Claimer::due);
+        // When the first voter may promise it anew, by the claimers' clock.
+        let held = self.voters.iter().flatten().filter_map(|voter| voter.holder(self.voter_time(), "job"));
+        let held = held.map(|(_, left)| self.now + left * 1_000_000 / (1_000_000 + FASTER) + 1);
+        let hellos = self.voters.iter().flatten().filter_map(Voter::due);
+        let hellos = hellos.map(|at| at * 1_000_000 / (1_000_000 + FASTER) + 1);
+        claimers.chain(held).chain(hellos).map(|at| at.max(self.now + 1)).collect()
+    }
+}
+
+impl Owners {
+    /// A run told step by step, for people: what each step was about, and who owned the job after it.
+    pub fn told(mut self, steps: &[Step]) -> Vec<String> {
+        let mut told = Vec::new();
+        for step in steps {
+            let about = match step {
+                Step::Deliver(at) | Step::Lose(at) | Step::Double(at) => format!("{:?}", self.net[*at]),
+                _ => String::new(),
+            };
+            self.take(step);
+            let owners: Vec<u64> = self
+                .claimers
+                .iter()
+                .filter_map(|claimer| claimer.warrant(self.now, "job").map(|warrant| warrant.fence().term))
+                .collect();
+            told.push(format!("{} us, terms {owners:?}: {step:?} {about}", self.now));
+        }
+        told
+    }
+}
+
+impl System for Owners {
+    type Step = Step;
+
+    fn steps(&self) -> Vec<Step> {
+        let usual = self.usual();
+        let mut steps: Vec<Step> = usual.clone().into_iter().collect();
+        for at in 0..self.claimers.len() {
+            if self.effects[at] > 0 && self.claimers[at].warrant(self.now, "job").is_some() {
+                steps.push(Step::Act(at));
+            }
+        }
+        steps.extend((0..self.acts.len()).map(Step::Comes));
+        for at in 0..VOTERS {
+            if self.voters[at].is_none() && !matches!(usual, Some(Step::Restart(_))) {
+                steps.push(Step::Restart(at));
+            }
+        }
+        if self.odd == 0 {
+            return steps;
+        }
+        for at in 0..self.net.len() {
+            if self.left[4] > 0 {
+                steps.push(Step::Deliver(at));
+            }
+            if self.left[0] > 0 {
+                steps.push(Step::Lose(at));
+            }
+            if self.left[1] > 0 {
+                steps.push(Step::Double(at));
+            }
+        }
+        for at in 0..VOTERS {
+            if !self.writes[at].is_empty() && self.left[4] > 0 {
+                steps.push(Step::Sync(at));
+            }
+            if self.voters[at].is_some() && self.left[2] > 0 {
+                steps.push(Step::Crash(at));
+            }
+        }
+        if self.left[3] > 0 && self.left[5] > 0 {
+            steps.extend(self.dues().into_iter().map(Step::Advance));
+        }
+        steps.retain(|step| !matches!((step, &usual), (Step::Deliver(0), Some(Step::Deliver(0)))));
+        steps.extend(usual.filter(|usual| matches!(usual, Step::Deliver(0))));
+        steps
+    }
+
+    fn take(&mut self, step: &Step) {
+        let free = matches!(step, Step::Act(_) | Step::Comes(_) | Step::Restart(_))
+            || self.usual().as_ref() == Some(step);
+        if !free {
+            self.odd = self.odd.saturating_sub(1);
+            match step {
+                Step::Deliver(_) | Step::Sync(_) => self.left[4] = self.left[4].saturating_sub(1),
+                Step::Advance(_) => self.left[5] = self.left[5].saturating_sub(1),
+                _ => {}
+            }
+        }
+        match step {
+            Step::Deliver(at) => {
+                let message = self.net.remove(*at);
+                self.deliver(message);
+            }
+            Step::Lose(at) => {
+                self.net.remove(*at);
+                self.left[0] -= 1;
+            }
+            Step::Double(at) => {
+                let message = self.net[*at].clone();
+                self.left[1] -= 1;
+                self.send(message);
+            }
+            Step::Sync(at) => {
+                if let Some((number, durable)) = self.writes[*at].pop_front() {
+                    self.disks[*at] = durable;
+                    let time = self.voter_time();
+                    if let Some(voter) =
+                        self.voters[*at].as_mut().filter(|_| self.seeded != Seeded::EarlyAnswer)
+                    {
+                        voter.synced(time, number, true);
+                    }
+                    self.carry_voter(*at);
+                }
+            }
+            Step::Crash(at) => {
+                self.left[2] -= 1;
+                self.voters[*at] = None;
+                self.writes[*at].clear();
+                if self.lose_folder {
+                    let founded = self.seeded == Seeded::Forgets;
+                    self.disks[*at] = Durable { founded, ..Durable::default() };
+                }
+                if self.seeded == Seeded::Reused {
+                    // A claimer ends as well, and comes back as who it was.
+                    let run = self.claimers[0].run();
+                    let mut claimer = Claimer::new(run, &names(), Terms { lease: LEASE, drift: DRIFT }, 7);
+                    claimer.want(self.now, &job(), 0);
+                    self.claimers[0] = claimer;
+                }
+            }
+            Step::Comes(at) => {
+                let fence = self.acts.remove(*at);
+                self.comes(fence);
+            }
+            Step::Restart(at) => {
+                self.start(*at);
+                self.tick();
+            }
+            Step::Advance(to) => {
+                self.left[3] -= 1;
+                self.now = *to;
+                self.tick();
+            }
+            Step::Act(at) => {
+                self.effects[*at] -= 1;
+                let fence = self.claimers[*at].warrant(self.now, "job").map(|warrant| warrant.fence());
+                if let Some(fence) = fence {
+                    self.acts.push(fence);
+                }
+            }
+        }
+    }
+
+    fn wrong(&self) -> Option<String> {
+        let owns = |claimer: &&Claimer| claimer.warrant(self.now, "job").is_some();
+        if self.claimers.iter().filter(owns).count() > 1 {
+            return Some("two own the job at one moment".into());
+        }
+        self.wrong.clone()
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/owners.rs
@@ -0,0 +1,86 @@
+//! Every interleaving, within stated bounds, of three voters and two that want one job: nothing is ever wrong, and each mistake
+//! that is made on purpose is found within the same bounds.
+
+use fernscale_lab::explore::{explore, Bounds, Found};
+use fernscale_lab::owners::{Owners, Seeded, Step, Trouble};
+
+const BOUNDS: Bounds = Bounds { depth: 200, states: 400_000 };
+
+/// Whatever one thing out of the usual does: a message lost, doubled or overtaken, a voter that ends, time that jumps.
+const ONE: Trouble = Trouble {
+    odd: 1,
+    lost: 1,
+    doubled: 1,
+    overtaken: 1,
+    jumps: 1,
+    crashes: 1,
+    lose_folder: false,
+    advances: 6,
+    effects: 1,
+};
+
+/// A voter that ends while messages are lost and overtaken.
+const CRASH: Trouble =
+    Trouble { odd: 5, lost: 2, doubled: 0, overtaken: 2, jumps: 0, advances: 3, effects: 0, ..ONE };
+
+/// Clocks that run unevenly, and processes that stand still.
+const CLOCKS: Trouble = Trouble { odd: 2, doubled: 0, crashes: 0, overtaken: 2, jumps: 2, effects: 0, ..ONE };
+
+fn played(seeded: Seeded, trouble: Trouble) -> Found<Step> {
+    explore(Owners::new(seeded, trouble), BOUNDS)
+}
+
+fn right(trouble: Trouble) {
+    let found = played(Seeded::None, trouble);
+    assert!(found.wrong.is_none() && found.whole, "{:?} after {} states", found.wrong, found.states);
+}
+
+fn found(seeded: Seeded, trouble: Trouble, what: &str) {
+    let found = played(seeded, trouble);
+    let (wrong, steps) = found.wrong.expect("it is found");
+    assert!(wrong.contains(what), "{wrong}");
+    // The steps lead there.
+    let told = Owners::new(seeded, trouble).told(&steps);
+    assert_eq!(told.len(), steps.len());
+}
+
+#[test]
+fn one_thing_out_of_the_usual_is_never_wrong() {
+    right(ONE);
+    right(Trouble { lose_folder: true, ..ONE });
+}
+
+#[test]
+fn a_voter_that_ends_while_messages_are_lost_is_never_wrong() {
+    right(Trouble { lose_folder: true, ..CRASH });
+}
+
+#[test]
+fn uneven_clocks_are_never_wrong() {
+    right(CLOCKS);
+}
+
+#[test]
+fn an_answer_before_the_promise_is_durable_is_found() {
+    found(Seeded::EarlyAnswer, CRASH, "two own the job");
+}
+
+#[test]
+fn a_voter_that_forgets_and_votes_on_is_found() {
+    found(Seeded::Forgets, Trouble { lose_folder: true, ..CRASH }, "two own the job");
+}
+
+#[test]
+fn a_run_that_comes_back_under_its_old_name_is_found() {
+    found(Seeded::Reused, ONE, "was won after term");
+}
+
+#[test]
+fn an_effect_without_its_fence_is_found() {
+    found(Seeded::NoFence, Trouble { crashes: 0, lost: 0, ..ONE }, "came after a later one's");
+}
+
+#[test]
+fn a_lease_without_its_margin_is_found() {
+    found(Seeded::NoMargin, CLOCKS, "two own the job");
+}
--- /dev/null
+++ b/crates/owner/src/claimer.rs
@@ -0,0 +1,414 @@
+//! A gateway that wants jobs: it claims, renews, gives back, and knows at any moment which it may act for.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::message::{Ask, Refusal, Say};
+use crate::{drawn, majority, Fence, Micros, Name, Run, Terms, MILLISECOND};
+
+/// How often those who have not answered are asked again.
+const AGAIN: Micros = 100 * MILLISECOND;
+/// How long a claim is tried, as a part of the lease; then it waits and begins anew.
+const TRIES: u64 = 3;
+/// The first pause after a claim in vain, and the longest; each is drawn between one and two times that, and doubles.
+const PAUSE: Micros = 20 * MILLISECOND;
+const LONGEST_PAUSE: Micros = 1_280 * MILLISECOND;
+/// A renewal begins after this part of the lease.
+const RENEWS: u64 = 3;
+
+/// The right to act for the fleet at this moment. What acts for the fleet takes one, and passes its fence on with the effect;
+/// only a [`Claimer`] that owns the job can make one.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Warrant<'c> {
+    job: &'c Name,
+    fence: Fence,
+}
+
+impl Warrant<'_> {
+    pub fn job(&self) -> &Name {
+        self.job
+    }
+
+    /// What the effect carries, and whoever takes it in judges by.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    Ask { to: Name, ask: Ask },
+    Event(Event),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// This gateway owns the job from now on.
+    Owns { job: Name, fence: Fence },
+    /// And no more: its lease could not be renewed, or an effect was refused.
+    Lost { job: Name, fence: Fence },
+    /// It has given the job back.
+    Left { job: Name, fence: Fence },
+}
+
+/// A claim or a renewal under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Try {
+    fence: Fence,
+    /// Answers that name another say nothing of this one's time.
+    number: u64,
+    /// The owner counts from before it asked.
+    asked: Micros,
+    next: Micros,
+    until: Micros,
+    /// Who has granted it, in which life, and what they say of each other's.
+    grants: BTreeMap<Name, u64>,
+    lives: BTreeMap<Name, u64>,
+    refused: BTreeMap<Name, Refusal>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum State {
+    /// From then on it may be claimed.
+    Waits(Micros),
+    Claims(Try),
+    Owns {
+        fence: Fence,
+        until: Micros,
+        renews: Micros,
+        renewal: Option<Try>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Job {
+    state: State,
+    /// Claims in vain in a row.
+    vain: u32,
+    /// The highest term that was heard of.
+    seen: u64,
+    /// How long it waits before it claims what nobody has: others come before it.
+    place: Micros,
+    /// Refusals since it was wanted, and why the last.
+    refusals: u64,
+    last: Option<Refusal>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Claimer {
+    run: Run,
+    voters: Vec<Name>,
+    terms: Terms,
+    seed: u64,
+    draws: u64,
+    numbers: u64,
+    jobs: BTreeMap<Name, Job>,
+    out: VecDeque<Output>,
+}
+
+/// How a job stands, for people.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    pub job: Name,
+    /// The fence, and how long it holds still, where this gateway owns it.
+    pub owns: Option<(Fence, Micros)>,
+    pub seen: u64,
+    pub refusals: u64,
+    pub last: Option<Refusal>,
+}
+
+impl Claimer {
+    pub fn new(run: Run, voters: &[Name], terms: Terms, seed: u64) -> Self {
+        let (voters, jobs, out) = (voters.to_vec(), BTreeMap::new(), VecDeque::new());
+        Claimer { run, voters, terms, seed, draws: 0, numbers: 0, jobs, out }
+    }
+
+    pub fn run(&self) -> Run {
+        self.run
+    }
+
+    pub fn take(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    /// From now on this job is wanted, after so long in which others come before this gateway.
+    pub fn want(&mut self, now: Micros, job: &Name, place: Micros) {
+        let fresh =
+            Job { state: State::Waits(now + place), vain: 0, seen: 0, place, refusals: 0, last: None };
+        self.jobs.entry(job.clone()).or_insert(fresh).place = place;
+    }
+
+    /// It is given back if it is owned, and not claimed any more.
+    pub fn leave(&mut self, job: &Name) {
+        let Some(Job { state, .. }) = self.jobs.remove(job) else { return };
+        let fence = match state {
+            State::Waits(_) => return,
+            // Some voters may have promised it.
+            State::Claims(claim) => claim.fence,
+            State::Owns { fence, .. } => {
+                self.out.push_back(Output::Event(Event::Left { job: job.clone(), fence }));
+                fence
+            }
+        };
+        for to in &self.voters {
+            let ask = Ask::Release { job: job.clone(), fence };
+            self.out.push_back(Output::Ask { to: to.clone(), ask });
+        }
+    }
+
+    /// All is given back, as this gateway ends.
+    pub fn leave_all(&mut self) {
+        let jobs: Vec<Name> = self.jobs.keys().cloned().collect();
+        jobs.iter().for_each(|job| self.leave(job));
+    }
+
+    /// The right to act for the fleet now; none where this gateway does not own the job, or its lease is over.
+    pub fn warrant(&self, now: Micros, job: &str) -> Option<Warrant<'_>> {
+        let (job, own) = self.jobs.get_key_value(job)?;
+        match own.state {
+            State::Owns { fence, until, .. } if now < until => Some(Warrant { job, fence }),
+            _ => None,
+        }
+    }
+
+    pub fn standing(&self, now: Micros) -> impl Iterator<Item = Standing> + '_ {
+        self.jobs.iter().map(move |(job, own)| Standing {
+            job: job.clone(),
+            owns: match own.state {
+                State::Owns { fence, until, .. } if now < until => Some((fence, until - now)),
+                _ => None,
+            },
+            seen: own.seen,
+            refusals: own.refusals,
+            last: own.last.clone(),
+        })
+    }
+
+    pub fn due(&self) -> Option<Micros> {
+        let due = |job: &Job| match &job.state {
+            State::Waits(at) => *at,
+            State::Claims(claim) => claim.next.min(claim.until),
+            State::Owns { until, renews, renewal, .. } => match renewal {
+                Some(renewal) => renewal.next.min(*until),
+                None => (*renews).min(*until),
+            },
+        };
+        self.jobs.values().map(due).min()
+    }
+
+    /// An effect by this fence was refused, as another owns the job by the one given.
+    pub fn refused(&mut self, now: Micros, job: &Name, highest: Fence) {
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        own.seen = own.seen.max(highest.term);
+        own.refusals += 1;
+        own.last = Some(Refusal::Higher(highest));
+        if let State::Owns { fence, .. } = own.state {
+            if fence < highest {
+                own.state = State::Waits(now + own.place);
+                self.out.push_back(Output::Event(Event::Lost { job: job.clone(), fence }));
+            }
+        }
+    }
+
+    pub fn tick(&mut self, now: Micros) {
+        let jobs: Vec<Name> = self.jobs.keys().cloned().collect();
+        for job in jobs {
+            self.tick_one(now, &job);
+        }
+    }
+
+    fn tick_one(&mut self, now: Micros, job: &Name) {
+        let (run, terms) = (self.run, self.terms);
+        let number = self.numbers + 1;
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        match &mut own.state {
+            State::Waits(at) if now >= *at => {
+                // A term that was never heard of, and no other run has.
+                own.seen += 1;
+                let fence = Fence { term: own.seen, run };
+                own.state = State::Claims(Try::new(now, fence, number, terms));
+                self.numbers = number;
+                self.ask(now, job);
+            }
+            State::Claims(claim) if now >= claim.until => self.in_vain(now, job, 0),
+            State::Claims(claim) if now >= claim.next => self.ask(now, job),
+            State::Owns { fence, until, .. } if now >= *until => {
+                let fence = *fence;
+                own.state = State::Waits(now + own.place);
+                self.out.push_back(Output::Event(Event::Lost { job: job.clone(), fence }));
+            }
+            State::Owns { fence, renews, renewal, .. } => match renewal {
+                None if now >= *renews => {
+                    *renewal = Some(Try::new(now, *fence, number, terms));
+                    self.numbers = number;
+                    self.ask(now, job);
+                }
+                // Asked anew, it counts from anew: an answer to the first may have been lost on its way.
+                Some(own) if now >= own.until => {
+                    *renewal = Some(Try::new(now, *fence, number, terms));
+                    self.numbers = number;
+                    self.ask(now, job);
+                }
+                Some(own) if now >= own.next => self.ask(now, job),
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+
+    /// Asks those who have not granted it yet.
+    fn ask(&mut self, now: Micros, job: &Name) {
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        let (State::Claims(claim) | State::Owns { renewal: Some(claim), .. }) = &mut own.state else {
+            return;
+        };
+        claim.next = now + AGAIN;
+        let (fence, number) = (claim.fence, claim.number);
+        for to in self.voters.iter().filter(|name| !claim.grants.contains_key(*name)) {
+            let ask = Ask::Claim { job: job.clone(), fence, number };
+            self.out.push_back(Output::Ask { to: to.clone(), ask });
+        }
+    }
+
+    /// What was claimed is given up: whoever has granted it need not hold it for a lease. Danger: some who claim at once hold
+    /// parts of a job each, and nobody has it until all those leases are over, again and again.
+    fn gives_up(&mut self, job: &Name) {
+        let Some(Job { state: State::Claims(claim), .. }) = self.jobs.get(job) else { return };
+        let fence = claim.fence;
+        for to in &self.voters {
+            let ask = Ask::Release { job: job.clone(), fence };
+            self.out.push_back(Output::Ask { to: to.clone(), ask });
+        }
+    }
+
+    /// A pause, longer each time, and at least as long as the job is held.
+    fn in_vain(&mut self, now: Micros, job: &Name, held: Micros) {
+        self.gives_up(job);
+        self.draws += 1;
+        let (seed, draws) = (self.seed ^ self.run.0, self.draws);
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        let pause = (PAUSE << own.vain.min(16)).min(LONGEST_PAUSE);
+        own.vain += 1;
+        let pause = pause + drawn(seed, &[job], draws) % pause;
+        own.state =
+            State::Waits(now + if held > 0 { held + own.place + pause.min(PAUSE * 2) } else { pause });
+    }
+
+    /// A voter has answered.
+    pub fn said(&mut self, now: Micros, from: &Name, say: Say) {
+        if !self.voters.contains(from) {
+            return;
+        }
+        match say {
+            Say::Granted { job, fence, number, life, lives } => {
+                self.granted(now, from, &job, (fence, number), life, lives);
+            }
+            Say::Refused { job, fence, number, why } => {
+                self.not_granted(now, from, &job, (fence, number), why);
+            }
+            Say::Known(_) => {}
+        }
+    }
+
+    fn granted(
+        &mut self,
+        now: Micros,
+        from: &Name,
+        job: &Name,
+        of: (Fence, u64),
+        life: u64,
+        lives: BTreeMap<Name, u64>,
+    ) {
+        let (voters, terms) = (self.voters.len(), self.terms);
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        let (State::Claims(claim) | State::Owns { renewal: Some(claim), .. }) = &mut own.state else {
+            return;
+        };
+        // Danger: an answer to an earlier time of asking that comes late. The voter's lease counts from then.
+        if (claim.fence, claim.number) != of {
+            return;
+        }
+        let (fence, _) = of;
+        claim.refused.remove(from);
+        claim.grants.insert(from.clone(), life);
+        for (name, least) in lives {
+            let own = claim.lives.entry(name).or_default();
+            *own = (*own).max(least);
+        }
+        let counts =
+            |(name, life): &(&Name, &u64)| claim.lives.get(*name).is_none_or(|least| **life >= *least);
+        if claim.grants.iter().filter(counts).count() < majority(voters) {
+            return;
+        }
+        let (asked, fresh) = (claim.asked, matches!(own.state, State::Claims(_)));
+        let until = asked + terms.holds();
+        if fresh && now >= until {
+            // It took so long that nothing is left of it.
+            return self.in_vain(now, job, 0);
+        }
+        own.vain = 0;
+        let renews = asked + terms.lease / RENEWS;
+        own.state = State::Owns { fence, until, renews, renewal: None };
+        if fresh {
+            self.out.push_back(Output::Event(Event::Owns { job: job.clone(), fence }));
+        }
+    }
+
+    fn not_granted(&mut self, now: Micros, from: &Name, job: &Name, of: (Fence, u64), why: Refusal) {
+        let voters = self.voters.len();
+        let Some(own) = self.jobs.get_mut(job) else { return };
+        let (State::Claims(claim) | State::Owns { renewal: Some(claim), .. }) = &mut own.state else {
+            return;
+        };
+        if (claim.fence, claim.number) != of || claim.grants.contains_key(from) {
+            return;
+        }
+        if let Refusal::Higher(higher) = &why {
+            own.seen = own.seen.max(higher.term);
+        }
+        own.refusals += 1;
+        own.last = Some(why.clone());
+        claim.refused.insert(from.clone(), why);
+        // So many have refused that no majority is left.
+        if voters - claim.refused.len() >= majority(voters) {
+            return;
+        }
+        let held = claim.refused.values().filter_map(|why| match why {
+            Refusal::Held { left } => Some(*left),
+            _ => None,
+        });
+        let held = held.max().unwrap_or(0);
+        let higher = claim.refused.values().any(|why| matches!(why, Refusal::Higher(_)));
+        match &own.state {
+            State::Claims(_) if held == 0 && higher && own.vain == 0 => {
+                // The term was too low: the next one is known to be higher.
+                own.vain = 1;
+                self.gives_up(job);
+                if let Some(own) = self.jobs.get_mut(job) {
+                    own.state = State::Waits(now);
+                }
+            }
+            State::Claims(_) => self.in_vain(now, job, held),
+            State::Owns { fence, .. } if higher => {
+                let fence = *fence;
+                own.state = State::Waits(now + own.place);
+                self.out.push_back(Output::Event(Event::Lost { job: job.clone(), fence }));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Try {
+    fn new(now: Micros, fence: Fence, number: u64, terms: Terms) -> Self {
+        Try {
+            fence,
+            number,
+            asked: now,
+            next: now,
+            until: now + terms.lease / TRIES,
+            grants: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/lib.rs
@@ -0,0 +1,88 @@
+//! One owner at a time for each job of the fleet, and no harm from an old one that wakes up late.
+//!
+//! A few named gateways are *voters*. Whoever wants a job asks all of them to promise it a *term*, a number that only rises.
+//! A voter promises a term once, to one run of one gateway, and answers only after the promise is durable; a majority of
+//! promises makes an owner. Any two majorities have a voter in common, so that no term has two owners, and a later owner's
+//! term is higher. Each job is by itself; there is no log and no leader.
+//!
+//! The *lease* keeps two from working in vain: voters promise nothing to others until it has ended by their clocks, and the
+//! owner stops before that by its own. Safety does not hang on it. Whatever an owner does for the fleet carries a
+//! [`claimer::Warrant`], and whoever takes the effect in keeps the highest [`Fence`] seen and refuses less ([`guard`]).
+//!
+//! No clock, socket, file or thread is here. Callers of [`voter::Voter`] and [`claimer::Claimer`]: tell what came, with the
+//! time by an even clock that nobody can set; call `tick` when `due` has come; carry out what `take` gives, in its order.
+
+pub mod claimer;
+pub mod guard;
+pub mod message;
+pub mod order;
+pub mod voter;
+
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+/// Microseconds, of a time or of a span.
+pub type Micros = u64;
+
+pub const MILLISECOND: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+
+/// A job's name, or a gateway's.
+pub type Name = Arc<str>;
+
+/// Bytes of a name at the most.
+pub const LONGEST_NAME: usize = 64;
+/// Jobs at the most: some times what a fleet has. Beyond it a voter promises no new one.
+pub const MOST_JOBS: usize = 4_096;
+/// Voters at the most: more make every promise dearer, and none safer.
+pub const MOST_VOTERS: usize = 7;
+
+/// One run of one gateway's process, drawn anew at each start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Run(pub u64);
+
+/// What an owner is told apart by. The order is that of terms; of one term, which only lost disks can give out twice, that
+/// of the runs, so that of any two one is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fence {
+    pub term: u64,
+    pub run: Run,
+}
+
+/// What an installation says of its leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// For how long a voter promises nothing to others, by its own clock, after it has answered.
+    pub lease: Micros,
+    /// How unevenly any two clocks run at the most, in millionths.
+    pub drift: u64,
+}
+
+impl Terms {
+    /// For how long an owner acts, by its own clock, after it has asked: if that runs slowly and the voters' fast, it has
+    /// stopped all the same when the first of them promises the job to another.
+    pub fn holds(&self) -> Micros {
+        (u128::from(self.lease) * u128::from(MILLION - self.drift.min(MILLION)) / u128::from(MILLION))
+            as Micros
+    }
+}
+
+const MILLION: u64 = 1_000_000;
+
+/// How many of so many voters are a majority.
+pub fn majority(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
+/// A number from some names and numbers, the same on every machine: what is drawn by it can be played again.
+fn drawn(seed: u64, names: &[&str], number: u64) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(seed, number);
+    for name in names {
+        hasher.write_usize(name.len());
+        hasher.write(name.as_bytes());
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/owner/src/voter.rs
@@ -0,0 +1,419 @@
+//! A voter: it promises terms, each once, and answers only when that is durable.
+//!
+//! A voter whose folder lacks promises that it has made must not vote by it. How that is known: each promise it writes down is
+//! counted, the others remember the count that they were told, and at its start a voter asks them. One that has forgotten
+//! is let in anew by a majority of the others: it takes over the highest term of each job that they have promised, which
+//! is at least that of every owner it had a part in, and has another *life* from then on; whoever let it in says so with
+//! each of its own promises, so that a claimer counts no promise of the life before.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::message::{Ask, Hello, Known, Refusal, Say};
+use crate::{majority, Fence, Micros, Name, Run, Terms, LONGEST_NAME, MILLISECOND, MOST_JOBS};
+
+/// How often a voter that starts asks the others.
+const HELLO: Micros = 100 * MILLISECOND;
+
+/// What a voter keeps in its folder.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Durable {
+    /// It has voted, or been let in: an empty folder is not that.
+    pub founded: bool,
+    pub life: u64,
+    /// How often a promise was written down.
+    pub writes: u64,
+    /// The highest promise of each job.
+    pub promises: BTreeMap<Name, Fence>,
+    /// What the other voters have told of themselves.
+    pub others: BTreeMap<Name, Other>,
+}
+
+/// What is remembered of another voter.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Other {
+    pub writes: u64,
+    /// The least life of it that counts, and the start of it that was given that life here.
+    pub life: u64,
+    pub start: Option<Run>,
+}
+
+/// What the caller is to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    /// Make this durable, and call `synced` with the number once it is. Until then nothing that hangs on it is sent.
+    Write {
+        number: u64,
+        durable: Durable,
+    },
+    /// Answer a claimer, at the place that it asked from.
+    Say {
+        to: Run,
+        say: Say,
+    },
+    /// Tell or ask another voter.
+    Ask {
+        to: Name,
+        ask: Ask,
+    },
+    Answer {
+        to: Name,
+        say: Say,
+    },
+    Event(Event),
+}
+
+/// What operators hear of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// It votes from now on; `anew` where it had forgotten promises and was let in.
+    Votes { anew: bool },
+    /// Its folder lacks promises that it has made: it waits to be let in.
+    Forgot,
+    /// Nothing can be made durable: it votes no more until it is started again.
+    Broken,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Standing {
+    /// It has started, and asks the others.
+    Asks {
+        forgot: bool,
+        known: BTreeMap<Name, Known>,
+    },
+    Votes,
+    /// What it wrote could not be made durable.
+    Broken,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Lease {
+    fence: Fence,
+    until: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter {
+    me: Name,
+    start: Run,
+    others: Vec<Name>,
+    terms: Terms,
+    durable: Durable,
+    standing: Standing,
+    leases: BTreeMap<Name, Lease>,
+    /// Until then it does not know who holds what it had promised before it started.
+    quiet: Micros,
+    next_hello: Micros,
+    writes: u64,
+    /// What is to be sent once a write is durable, in the order of the writes.
+    waiting: VecDeque<(u64, Vec<Held>)>,
+    out: VecDeque<Output>,
+}
+
+/// What waits for a write.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Held {
+    Grant { to: Run, job: Name, fence: Fence, number: u64 },
+    Answer { to: Name, say: Say },
+    Votes { anew: bool },
+}
+
+impl Voter {
+    /// A process starts with what its folder holds. `voters` are all of them, this one too; `start` tells this start from
+    /// any other.
+    pub fn start(
+        me: &Name,
+        start: Run,
+        voters: &[Name],
+        terms: Terms,
+        durable: Durable,
+        now: Micros,
+    ) -> Self {
+        let others: Vec<Name> = voters.iter().filter(|name| *name != me).cloned().collect();
+        let forgot = !durable.founded;
+        Voter {
+            me: me.clone(),
+            start,
+            others,
+            terms,
+            durable,
+            standing: Standing::Asks { forgot, known: BTreeMap::new() },
+            leases: BTreeMap::new(),
+            quiet: now + terms.lease,
+            next_hello: now,
+            writes: 0,
+            waiting: VecDeque::new(),
+            out: VecDeque::new(),
+        }
+    }
+
+    pub fn votes(&self) -> bool {
+        self.standing == Standing::Votes
+    }
+
+    pub fn durable(&self) -> &Durable {
+        &self.durable
+    }
+
+    /// Who holds a job as far as this voter knows, and for how long.
+    pub fn holder(&self, now: Micros, job: &str) -> Option<(Fence, Micros)> {
+        let lease = self.leases.get(job).filter(|lease| lease.until > now)?;
+        Some((lease.fence, lease.until - now))
+    }
+
+    pub fn due(&self) -> Option<Micros> {
+        matches!(self.standing, Standing::Asks { .. }).then_some(self.next_hello)
+    }
+
+    pub fn take(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    pub fn tick(&mut self, now: Micros) {
+        let Standing::Asks { forgot, .. } = &self.standing else { return };
+        if now < self.next_hello {
+            return;
+        }
+        self.next_hello = now + HELLO;
+        let hello = Hello {
+            of: self.me.clone(),
+            start: self.start,
+            writes: self.durable.writes,
+            life: self.durable.life,
+            forgot: *forgot && !self.empty(),
+            empty: self.empty(),
+        };
+        for to in &self.others {
+            self.out.push_back(Output::Ask { to: to.clone(), ask: Ask::Hello(hello.clone()) });
+        }
+        // One that is alone asks nobody.
+        self.let_in();
+    }
+
+    fn empty(&self) -> bool {
+        !self.durable.founded
+    }
+
+    /// A claimer, or another voter, asks something.
+    pub fn asked(&mut self, now: Micros, from: Run, ask: Ask) {
+        match ask {
+            Ask::Claim { job, fence, number } => {
+                if let Err(why) = self.claim(now, from, &job, fence, number) {
+                    let say = Say::Refused { job, fence, number, why };
+                    self.out.push_back(Output::Say { to: from, say });
+                }
+            }
+            Ask::Release { job, fence } => {
+                // Whoever has a later term is not meant.
+                if self.leases.get(&job).is_some_and(|lease| lease.fence == fence) {
+                    self.leases.remove(&job);
+                }
+            }
+            Ask::Hello(hello) => self.hello(hello),
+            Ask::Wrote { of, writes } => self.remember(&of, writes),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        now: Micros,
+        from: Run,
+        job: &Name,
+        fence: Fence,
+        number: u64,
+    ) -> Result<(), Refusal> {
+        if !self.votes() || fence.run != from {
+            return Err(Refusal::Silent);
+        }
+        let promised = self.durable.promises.get(job).copied();
+        match promised {
+            Some(promise) if promise == fence => {
+                self.grants(now, from, job, fence, number);
+                return Ok(());
+            }
+            // Of one term there is one promise, whoever asks for it later.
+            Some(promise) if promise.term >= fence.term => return Err(Refusal::Higher(promise)),
+            None if self.durable.promises.len() >= MOST_JOBS
+                || job.is_empty()
+                || job.len() > LONGEST_NAME =>
+            {
+                return Err(Refusal::Full)
+            }
+            _ => {}
+        }
+        let lease = self.leases.get(job).filter(|lease| lease.fence.run != fence.run && lease.until > now);
+        // Who held it when this voter started is not known: what it took over from others may be of one who never won.
+        let quiet = promised.map(|_| self.quiet).filter(|at| *at > now);
+        if let Some(until) = lease.map(|lease| lease.until).max(quiet) {
+            return Err(Refusal::Held { left: until - now });
+        }
+        self.durable.promises.insert(job.clone(), fence);
+        self.durable.writes += 1;
+        self.write(vec![Held::Grant { to: from, job: job.clone(), fence, number }]);
+        Ok(())
+    }
+
+    /// Says yes, after what has to be durable for it; the lease counts from now.
+    fn grants(&mut self, now: Micros, to: Run, job: &Name, fence: Fence, number: u64) {
+        // A write of this very promise may still be under way.
+        let pending = self.waiting.iter_mut().find(|(_, held)| {
+            held.iter().any(|held| matches!(held, Held::Grant { job: own, fence: its, .. } if own == job && *its == fence))
+        });
+        if pending.is_some() {
+            return;
+        }
+        self.leases.insert(job.clone(), Lease { fence, until: now + self.terms.lease });
+        let lives = self.durable.others.iter().map(|(name, other)| (name.clone(), other.life)).collect();
+        let say = Say::Granted { job: job.clone(), fence, number, life: self.durable.life, lives };
+        self.out.push_back(Output::Say { to, say });
+    }
+
+    fn write(&mut self, held: Vec<Held>) {
+        self.writes += 1;
+        self.waiting.push_back((self.writes, held));
+        self.out.push_back(Output::Write { number: self.writes, durable: self.durable.clone() });
+    }
+
+    /// All writes up to this number are durable; or they can't be made so.
+    pub fn synced(&mut self, now: Micros, number: u64, durable: bool) {
+        if !durable {
+            // What was promised in memory was promised to nobody, but may be on the disk: only a start can tell.
+            self.standing = Standing::Broken;
+            self.waiting.clear();
+            self.out.push_back(Output::Event(Event::Broken));
+            return;
+        }
+        while self.waiting.front().is_some_and(|(own, _)| *own <= number) {
+            let Some((_, held)) = self.waiting.pop_front() else { return };
+            for held in held {
+                match held {
+                    // A later promise may have taken its place; then this one is said to nobody.
+                    Held::Grant { to, job, fence, number }
+                        if self.durable.promises.get(&job) == Some(&fence) =>
+                    {
+                        self.grants(now, to, &job, fence, number);
+                        self.tell_wrote();
+                    }
+                    Held::Grant { .. } => {}
+                    Held::Answer { to, say } => self.out.push_back(Output::Answer { to, say }),
+                    Held::Votes { anew } => {
+                        self.standing = Standing::Votes;
+                        self.quiet = now + self.terms.lease;
+                        self.out.push_back(Output::Event(Event::Votes { anew }));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The others are to remember how much this voter has written: so a folder from before is found out.
+    fn tell_wrote(&mut self) {
+        for to in &self.others {
+            let ask = Ask::Wrote { of: self.me.clone(), writes: self.durable.writes };
+            self.out.push_back(Output::Ask { to: to.clone(), ask });
+        }
+    }
+
+    // Starts.
+
+    /// Another voter starts, and asks what is known here.
+    fn hello(&mut self, hello: Hello) {
+        if !self.others.contains(&hello.of) || self.standing == Standing::Broken {
+            return;
+        }
+        let known = self.durable.others.get(&hello.of).cloned().unwrap_or_default();
+        let forgot = match &self.standing {
+            Standing::Asks { forgot, .. } => *forgot,
+            _ => false,
+        };
+        // Whoever is let in has a life that nobody has counted yet; from now on none before it counts here. One start is given
+        // one life, however often it asks.
+        let lost = (hello.forgot || hello.empty || known.writes > hello.writes) && !self.empty();
+        let given = known.start == Some(hello.start);
+        let mut next = known.clone();
+        next.life = known.life.max(hello.life);
+        if lost && !given {
+            next.life += 1;
+            next.start = Some(hello.start);
+        }
+        let say = Say::Known(Known {
+            of: hello.of.clone(),
+            writes: known.writes,
+            life: next.life,
+            founded: self.durable.founded,
+            forgot,
+            pristine: self.durable.promises.is_empty(),
+            promises: self.durable.promises.clone(),
+        });
+        next.writes = known.writes.max(hello.writes);
+        let told = self.waiting.iter().any(|(_, held)| {
+            held.iter().any(|held| matches!(held, Held::Answer { to, .. } if *to == hello.of))
+        });
+        if lost && !given {
+            // What it is told of its life must outlast this process.
+            self.durable.others.insert(hello.of.clone(), next);
+            self.write(vec![Held::Answer { to: hello.of, say }]);
+        } else if !told {
+            self.out.push_back(Output::Answer { to: hello.of, say });
+        }
+    }
+
+    /// Another voter has answered, or was heard to have written so often.
+    pub fn answered(&mut self, from: &Name, say: Say) {
+        let Say::Known(known) = say else { return };
+        if known.of != self.me || !self.others.contains(from) {
+            return;
+        }
+        let (writes, founded) = (self.durable.writes, self.durable.founded);
+        let Standing::Asks { forgot, known: all } = &mut self.standing else { return };
+        if founded && known.writes > writes && !*forgot {
+            *forgot = true;
+            self.out.push_back(Output::Event(Event::Forgot));
+        }
+        all.insert(from.clone(), known);
+        self.let_in();
+    }
+
+    /// A voter's own word of how often it has written, as others pass it on.
+    pub fn remember(&mut self, of: &Name, writes: u64) {
+        if self.others.contains(of) {
+            let own = self.durable.others.entry(of.clone()).or_default();
+            own.writes = own.writes.max(writes);
+        }
+    }
+
+    fn let_in(&mut self) {
+        let Standing::Asks { forgot, known } = &self.standing else { return };
+        let (all, others) = (self.others.len() + 1, self.others.len());
+        let sound = known.values().filter(|known| !known.forgot && known.founded).count();
+        let pristine = known.values().filter(|known| known.pristine).count();
+        // Nobody has ever promised anything: all must say so, as any who is not heard might have.
+        let first = self.empty() && pristine == others;
+        // What it was part of, a majority of the others has a part in; or its folder lacks nothing that anybody knows of.
+        let taught = sound >= majority(others) && others > 0;
+        let intact = !*forgot && sound + 1 >= majority(all);
+        if !(first || taught || intact) || self.waiting.iter().any(|(_, held)| held.iter().any(is_votes)) {
+            return;
+        }
+        let anew = *forgot && !first;
+        for known in known.values() {
+            for (job, fence) in &known.promises {
+                let own = self.durable.promises.entry(job.clone()).or_insert(*fence);
+                // Of one term its own promise is the one that it gave.
+                if fence.term > own.term {
+                    *own = *fence;
+                }
+            }
+            self.durable.writes = self.durable.writes.max(known.writes);
+            self.durable.life = self.durable.life.max(known.life);
+        }
+        self.durable.founded = true;
+        self.durable.writes += 1;
+        self.write(vec![Held::Votes { anew }]);
+    }
+}
+
+fn is_votes(held: &Held) -> bool {
+    matches!(held, Held::Votes { .. })
+}
--- /dev/null
+++ b/crates/owner/tests/owner.rs
@@ -0,0 +1,418 @@
+//! Voters and claimers under random schedules of loss, delay, doubling, restarts, lost folders and uneven clocks; and the order
+//! in which gateways come for jobs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fernscale_owner::claimer::{Claimer, Event, Output as Wants};
+use fernscale_owner::guard::{Admit, Guard};
+use fernscale_owner::message::{Ask, Say};
+use fernscale_owner::order::{first, place, Candidate};
+use fernscale_owner::voter::{Durable, Event as Told, Output, Voter};
+use fernscale_owner::{Fence, Micros, Name, Run, Terms, MILLISECOND, SECOND};
+
+const TERMS: Terms = Terms { lease: 2 * SECOND, drift: 20_000 };
+
+/// A small generator, so that a seed is a schedule.
+struct Chance(u64);
+
+impl Chance {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % most.max(1)
+    }
+}
+
+enum Message {
+    Ask(usize, Run, Ask),
+    Say(Run, Name, Say),
+    Answer(usize, Name, Say),
+    Synced(usize, u64, u64, Durable),
+}
+
+/// A fleet in virtual time. Clocks run evenly or up to a hundredth too fast or slow.
+struct World {
+    now: Micros,
+    chance: Chance,
+    names: Vec<Name>,
+    disks: Vec<Durable>,
+    voters: Vec<Option<(Voter, u64)>>,
+    claimers: Vec<Option<Claimer>>,
+    paces: Vec<u64>,
+    starts: u64,
+    order: u64,
+    due: BTreeMap<(Micros, u64), Message>,
+    loss: u64,
+    longest: Micros,
+    guard: Guard,
+    owners: BTreeMap<(Name, u64), Run>,
+    /// When each job was won last, and by which fence.
+    won: BTreeMap<Name, Fence>,
+    events: Vec<(Micros, Told)>,
+}
+
+impl World {
+    fn new(voters: usize, claimers: usize, jobs: &[Name], seed: u64) -> World {
+        let names: Vec<Name> = (0..voters).map(|at| format!("v{at}").into()).collect();
+        let mut world = World {
+            now: SECOND,
+            chance: Chance(seed * 0x9e37_79b9 + 1),
+            disks: vec![Durable::default(); voters],
+            voters: (0..voters).map(|_| None).collect(),
+            names,
+            claimers: (0..claimers).map(|_| None).collect(),
+            paces: Vec::new(),
+            starts: 0,
+            order: 0,
+            due: BTreeMap::new(),
+            loss: 0,
+            longest: 2 * MILLISECOND,
+            guard: Guard::default(),
+            owners: BTreeMap::new(),
+            won: BTreeMap::new(),
+            events: Vec::new(),
+        };
+        world.paces = (0..voters + claimers).map(|_| 990_000 + world.chance.below(20_001)).collect();
+        (0..voters).for_each(|at| world.start_voter(at));
+        (0..claimers).for_each(|at| world.start_claimer(at, jobs));
+        world
+    }
+
+    fn time(&self, at: usize) -> Micros {
+        (u128::from(self.now) * u128::from(self.paces[at]) / 1_000_000) as Micros
+    }
+
+    fn start_voter(&mut self, at: usize) {
+        self.starts += 1;
+        let (start, time) = (Run(self.starts), self.time(at));
+        let voter = Voter::start(&self.names[at], start, &self.names, TERMS, self.disks[at].clone(), time);
+        self.voters[at] = Some((voter, self.starts));
+    }
+
+    fn start_claimer(&mut self, at: usize, jobs: &[Name]) {
+        self.starts += 1;
+        let mut claimer = Claimer::new(Run(1_000 + self.starts), &self.names, TERMS, self.starts);
+        let time = self.time(self.names.len() + at);
+        jobs.iter().for_each(|job| claimer.want(time, job, at as Micros * 10 * MILLISECOND));
+        self.claimers[at] = Some(claimer);
+    }
+
+    fn send(&mut self, message: Message) {
+        let copies = 1 + u64::from(self.chance.below(20) == 0 && self.loss > 0);
+        if matches!(message, Message::Synced(..)) || self.chance.below(100) >= self.loss {
+            self.push(message, copies);
+        }
+    }
+
+    fn push(&mut self, message: Message, copies: u64) {
+        let again = match (&message, copies) {
+            (Message::Ask(to, from, ask), 2..) => Some(Message::Ask(*to, *from, ask.clone())),
+            (Message::Say(to, from, say), 2..) => Some(Message::Say(*to, from.clone(), say.clone())),
+            _ => None,
+        };
+        for message in [Some(message), again].into_iter().flatten() {
+            self.order += 1;
+            let at = self.now + 1 + self.chance.below(self.longest);
+            self.due.insert((at, self.order), message);
+        }
+    }
+
+    fn place(&self, name: &Name) -> usize {
+        self.names.iter().position(|own| own == name).expect("a voter")
+    }
+
+    fn carry_voter(&mut self, at: usize) {
+        while let Some(output) = self.voters[at].as_mut().and_then(|(voter, _)| voter.take()) {
+            let name = self.names[at].clone();
+            match output {
+                Output::Write { number, durable } => {
+                    let start = self.voters[at].as_ref().map_or(0, |(_, start)| *start);
+                    self.send(Message::Synced(at, start, number, durable));
+                }
+                Output::Say { to, say } => self.send(Message::Say(to, name, say)),
+                Output::Ask { to, ask } => self.send(Message::Ask(self.place(&to), Run(at as u64), ask)),
+                Output::Answer { to, say } => self.send(Message::Answer(self.place(&to), name, say)),
+                Output::Event(event) => self.events.push((self.now, event)),
+            }
+        }
+    }
+
+    fn carry_claimer(&mut self, at: usize) {
+        while let Some(wanted) = self.claimers[at].as_mut().and_then(Claimer::take) {
+            match wanted {
+                Wants::Ask { to, ask } => {
+                    let run = self.claimers[at].as_ref().expect("it runs").run();
+                    self.send(Message::Ask(self.place(&to), run, ask));
+                }
+                Wants::Event(Event::Owns { job, fence }) => {
+                    let one = *self.owners.entry((job.clone(), fence.term)).or_insert(fence.run);
+                    assert_eq!(one, fence.run, "term {} of {job} has two owners", fence.term);
+                    let before = self.won.insert(job, fence);
+                    assert!(before.is_none_or(|before| before < fence), "{before:?} before {fence:?}");
+                }
+                Wants::Event(_) => {}
+            }
+        }
+    }
+
+    /// Goes on; all the while no two own a job, and what owners do is taken in in the order of their terms.
+    fn run(&mut self, until: Micros) {
+        while self.now < until {
+            self.now += MILLISECOND;
+            while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                match entry.remove() {
+                    Message::Ask(to, from, ask) => {
+                        let time = self.time(to);
+                        if let Some((voter, _)) = &mut self.voters[to] {
+                            voter.asked(time, from, ask);
+                        }
+                        self.carry_voter(to);
+                    }
+                    Message::Answer(to, from, say) => {
+                        if let Some((voter, _)) = &mut self.voters[to] {
+                            voter.answered(&from, say);
+                        }
+                        self.carry_voter(to);
+                    }
+                    Message::Say(to, from, say) => {
+                        let of =
+                            |claimer: &Option<Claimer>| claimer.as_ref().is_some_and(|own| own.run() == to);
+                        let Some(at) = self.claimers.iter().position(of) else { continue };
+                        let time = self.time(self.names.len() + at);
+                        if let Some(claimer) = &mut self.claimers[at] {
+                            claimer.said(time, &from, say);
+                        }
+                        self.carry_claimer(at);
+                    }
+                    Message::Synced(at, start, number, durable) => {
+                        let time = self.time(at);
+                        let Some((voter, own)) = &mut self.voters[at] else { continue };
+                        if *own == start {
+                            self.disks[at] = durable;
+                            voter.synced(time, number, true);
+                        }
+                        self.carry_voter(at);
+                    }
+                }
+            }
+            for at in 0..self.voters.len() {
+                let time = self.time(at);
+                if let Some((voter, _)) = &mut self.voters[at] {
+                    voter.tick(time);
+                }
+                self.carry_voter(at);
+            }
+            let mut owners: BTreeSet<Name> = BTreeSet::new();
+            for at in 0..self.claimers.len() {
+                let time = self.time(self.names.len() + at);
+                let Some(claimer) = &mut self.claimers[at] else { continue };
+                if claimer.due().is_some_and(|due| due <= time) {
+                    claimer.tick(time);
+                }
+                let owned: Vec<_> = claimer.standing(time).filter(|own| own.owns.is_some()).collect();
+                for own in owned {
+                    let warrant = claimer.warrant(time, &own.job).expect("it owns it");
+                    let fence = warrant.fence();
+                    assert!(owners.insert(own.job.clone()), "two own {} at {} us", own.job, self.now);
+                    let admitted = self.guard.admit(&own.job, fence);
+                    assert!(!matches!(admitted, Admit::Refused(_)), "{fence:?} {admitted:?}");
+                }
+                self.carry_claimer(at);
+            }
+        }
+    }
+
+    fn owned(&self, job: &Name) -> bool {
+        let count = self.names.len();
+        let owns = |(at, claimer): (usize, &Option<Claimer>)| {
+            claimer.as_ref().is_some_and(|claimer| claimer.warrant(self.time(count + at), job).is_some())
+        };
+        self.claimers.iter().enumerate().any(owns)
+    }
+}
+
+fn jobs(count: usize) -> Vec<Name> {
+    (0..count).map(|at| format!("job-{at}").into()).collect()
+}
+
+#[test]
+fn whatever_happens_a_term_has_one_owner_and_afterwards_every_job_has_one() {
+    for seed in 0..60 {
+        let (voters, jobs) = ([3, 5, 7][seed as usize % 3], jobs(3));
+        let mut world = World::new(voters, 4, &jobs, seed + 1);
+        world.run(3 * SECOND);
+        assert!(jobs.iter().all(|job| world.owned(job)), "seed {seed}: no owner after the start");
+        (world.loss, world.longest) = (20, 150 * MILLISECOND);
+        for _ in 0..10 {
+            let until = world.now + 200 * MILLISECOND + world.chance.below(1_500 * MILLISECOND);
+            world.run(until);
+            let voter = world.chance.below(voters as u64) as usize;
+            let claimer = world.chance.below(4) as usize;
+            let down = world
+                .voters
+                .iter()
+                .filter(|voter| voter.as_ref().is_none_or(|(own, _)| !own.votes()))
+                .count();
+            match world.chance.below(6) {
+                // Fewer than a half are out at a time, and one at most has lost its folder.
+                0 | 1 if 2 * (down + 1) < voters => world.voters[voter] = None,
+                2 if down == 0 => {
+                    world.voters[voter] = None;
+                    world.disks[voter] = Durable::default();
+                    world.start_voter(voter);
+                }
+                3 => world.start_claimer(claimer, &jobs),
+                4 => world.claimers[claimer] = None,
+                _ => {}
+            }
+            for at in 0..voters {
+                if world.voters[at].is_none() && world.chance.below(3) == 0 {
+                    world.start_voter(at);
+                }
+            }
+        }
+        (world.loss, world.longest) = (0, 2 * MILLISECOND);
+        (0..voters).filter(|at| world.voters[*at].is_none()).collect::<Vec<_>>().into_iter().for_each(|at| {
+            world.start_voter(at);
+        });
+        (0..4).for_each(|at| {
+            if world.claimers[at].is_none() {
+                world.start_claimer(at, &jobs);
+            }
+        });
+        world.run(world.now + 2 * TERMS.lease + 3 * SECOND);
+        assert!(jobs.iter().all(|job| world.owned(job)), "seed {seed}: no owner in the end");
+    }
+}
+
+#[test]
+fn a_job_has_an_owner_again_within_a_lease_after_a_crash_and_at_once_after_it_is_given_back() {
+    let jobs = jobs(20);
+    let mut world = World::new(3, 3, &jobs, 5);
+    world.run(3 * SECOND);
+    let held = |world: &World| jobs.iter().filter(|job| world.owned(job)).count();
+    assert_eq!(held(&world), 20);
+    // The first owns most, as it came first.
+    world.claimers[0] = None;
+    world.run(world.now + TERMS.lease + SECOND);
+    assert_eq!(held(&world), 20);
+    let gives_back = |world: &mut World, at: usize| {
+        world.claimers[at].as_mut().expect("it runs").leave_all();
+        world.carry_claimer(at);
+        world.claimers[at] = None;
+    };
+    world.start_claimer(0, &jobs);
+    world.run(world.now + SECOND);
+    gives_back(&mut world, 1);
+    let began = world.now;
+    while held(&world) < 20 {
+        assert!(world.now < began + TERMS.lease + SECOND, "they are not taken over");
+        world.run(world.now + 5 * MILLISECOND);
+    }
+}
+
+#[test]
+fn all_voters_killed_at_once_come_back_and_terms_rise_over_it() {
+    let jobs = jobs(2);
+    let mut world = World::new(5, 2, &jobs, 9);
+    world.run(3 * SECOND);
+    let before = world.won.clone();
+    (0..5).for_each(|at| world.voters[at] = None);
+    world.run(world.now + SECOND);
+    // One has lost its folder.
+    world.disks[2] = Durable::default();
+    (0..5).for_each(|at| world.start_voter(at));
+    world.run(world.now + 3 * TERMS.lease);
+    assert!(world.voters.iter().flatten().all(|(voter, _)| voter.votes()));
+    assert!(jobs.iter().all(|job| world.owned(job)));
+    assert!(jobs.iter().all(|job| world.won[job] >= before[job]));
+    assert!(world.events.iter().any(|(_, event)| *event == Told::Votes { anew: true }));
+}
+
+#[test]
+fn a_folder_from_before_is_found_out_and_let_in_anew() {
+    let jobs = jobs(1);
+    let mut world = World::new(3, 2, &jobs, 11);
+    world.run(2 * SECOND);
+    let earlier = world.disks[0].clone();
+    // The owner ends, so that another term is promised after this.
+    let owner = (0..2).find(|at| {
+        let claimer = world.claimers[*at].as_ref().expect("it runs");
+        claimer.warrant(world.time(3 + at), &jobs[0]).is_some()
+    });
+    world.claimers[owner.expect("one owns it")] = None;
+    world.run(world.now + TERMS.lease + SECOND);
+    assert!(world.disks[0].writes > earlier.writes, "it has promised nothing since");
+    world.disks[0] = earlier;
+    world.start_voter(0);
+    world.run(world.now + SECOND);
+    let told: Vec<_> = world.events.iter().map(|(_, event)| event.clone()).collect();
+    assert!(told.contains(&Told::Forgot) && told.contains(&Told::Votes { anew: true }), "{told:?}");
+    assert_eq!(world.disks[0].promises, world.disks[1].promises);
+}
+
+#[test]
+fn without_a_majority_nobody_owns_and_a_disk_that_fails_makes_no_promise() {
+    let jobs = jobs(1);
+    let mut world = World::new(3, 2, &jobs, 3);
+    world.run(2 * SECOND);
+    (0..2).for_each(|at| world.voters[at] = None);
+    world.run(world.now + TERMS.lease + 100 * MILLISECOND);
+    assert!(!world.owned(&jobs[0]));
+    let mut voter = Voter::start(&"a".into(), Run(1), &["a".into()], TERMS, Durable::default(), 0);
+    voter.tick(0);
+    let mut number = 0;
+    while let Some(output) = voter.take() {
+        if let Output::Write { number: own, .. } = output {
+            number = own;
+        }
+    }
+    voter.synced(1, number, true);
+    assert!(voter.votes());
+    let fence = Fence { term: 1, run: Run(7) };
+    voter.asked(2, Run(7), Ask::Claim { job: "j".into(), fence, number: 1 });
+    voter.synced(3, number + 1, false);
+    voter.asked(4, Run(7), Ask::Claim { job: "j".into(), fence, number: 2 });
+    let mut said = Vec::new();
+    while let Some(output) = voter.take() {
+        said.push(output);
+    }
+    assert!(
+        !said.iter().any(|output| matches!(output, Output::Say { say: Say::Granted { .. }, .. })),
+        "{said:?}"
+    );
+    assert!(said.contains(&Output::Event(Told::Broken)) && !voter.votes());
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count).map(|at| Candidate { name: format!("gateway-{at}").into(), unwilling: false }).collect()
+}
+
+#[test]
+fn jobs_are_spread_evenly_and_few_move_with_a_gateway() {
+    let jobs = jobs(1_000);
+    let (all, fewer) = (candidates(30), candidates(29));
+    let mut each: BTreeMap<Name, usize> = BTreeMap::new();
+    let mut moved = 0;
+    for job in &jobs {
+        let own = first(job, &all).expect("there are some");
+        moved += usize::from(own != first(job, &fewer).expect("there are some"));
+        *each.entry(own).or_default() += 1;
+    }
+    // A thirtieth of a thousand each, give or take some of what chance does.
+    assert!(each.len() == 30 && each.values().all(|jobs| (15..60).contains(jobs)), "{each:?}");
+    // Only those of the one that is gone.
+    assert!(moved < 60, "{moved} moved");
+}
+
+#[test]
+fn whoever_had_better_not_comes_last_and_everybody_has_a_place_of_its_own() {
+    let mut all = candidates(5);
+    let chosen = first("job", &all).expect("there are some");
+    all.iter_mut().find(|own| own.name == chosen).expect("it is there").unwilling = true;
+    assert_eq!(place("job", &all, &chosen), Some(4));
+    let places: BTreeSet<_> = all.iter().map(|own| place("job", &all, &own.name)).collect();
+    assert_eq!(places, (0..5).map(Some).collect());
+    assert_eq!(place("job", &all, "stranger"), None);
+}
