--- a/crates/lab/src/live/play.rs
+++ b/crates/lab/src/live/play.rs
@@ -403,9 +403,9 @@
         let court = self.world.court.borrow();
         let here = court.rules();
         let here = |name: &str| here.iter().find(|(own, _)| *own == name).map_or(0, |(_, own)| own.count);
-        let differ = rules.iter().filter(|(name, count)| (*count > 0) != (here(name) > 0)).count();
+        let differ = rules.iter().filter(|(name, count, _)| (*count > 0) != (here(name) > 0)).count();
         let mut shown = json!({ "differ": differ, "left_out": left_out });
-        rules.into_iter().for_each(|(name, count)| shown[name] = json!(count));
+        rules.into_iter().for_each(|(name, count, _)| shown[name] = json!(count));
         shown
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -18,7 +18,7 @@
 use fernscale_lab::model::list::{Entry, Status};
 use fernscale_lab::owners::{Owners, Seeded, Trouble};
 use fernscale_lab::scenario::Scenario;
-use fernscale_lab::{history, report, scenario, storm, Micros};
+use fernscale_lab::{history, report, scenario, storm, virtual_time, Micros};
 
 /// Tries gateways: stand-ins for all they meet, a load, faults, and a ledger of the five rules.
 #[derive(Parser)]
@@ -36,6 +36,14 @@
     Load(Asked),
     /// Servers, discovery and a counter to try a gateway with, until Ctrl-C
     StandIns(StandIns),
+    /// Play a scenario's faults on the mesh in virtual time, for as many gateways as one likes
+    Virtual {
+        scenario: PathBuf,
+        #[arg(long)]
+        gateways: Option<u32>,
+        #[arg(long)]
+        seed: Option<u64>,
+    },
     /// Play storms of faults that are drawn from a scenario's menu, and make those that fail smaller
     Storm(Storm),
     /// Judge a history that was kept, from its file alone
@@ -211,6 +219,7 @@
         Command::Run(run) => run_scenario(run),
         Command::Load(asked) => put_load(asked),
         Command::StandIns(asked) => stand_ins(asked),
+        Command::Virtual { scenario, gateways, seed } => play_virtually(&scenario, gateways, seed),
         Command::Storm(storm) => play_storms(storm),
         Command::Explore(asked) => Ok(look(&asked)),
         Command::Judge { history } => judge(&history),
@@ -282,6 +291,22 @@
     })
 }
 
+fn play_virtually(file: &Path, gateways: Option<u32>, seed: Option<u64>) -> Result<ExitCode, String> {
+    let mut scenario = scenario::read(file).map_err(|why| why.to_string())?;
+    scenario.seed = seed.unwrap_or(scenario.seed);
+    scenario.fleet.gateways = gateways.unwrap_or(scenario.fleet.gateways);
+    scenario.check("--gateways", "").map_err(|why| why.to_string())?;
+    let (rules, left_out) = virtual_time::play(&scenario);
+    println!("{}: {} gateways, {left_out} faults left out", scenario.name, scenario.fleet.gateways);
+    for (name, broken, instances) in &rules {
+        let told = if *broken == 0 { "kept".into() } else { format!("BROKEN {broken} times") };
+        println!("  rule {name:<10} {told}");
+        instances.iter().for_each(|instance| println!("    {instance}"));
+    }
+    let kept = rules.iter().all(|(_, broken, _)| *broken == 0);
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::from(NOT_HELD) })
+}
+
 /// Plays of a storm that failed once, and how many of them must fail for it to count.
 const AGAIN: u32 = 3;
 const MOST: u32 = 2;
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -2,7 +2,7 @@
 //! must be true of the other. Each gateway adds to counts that some share; clocks and what waits for a record are left out.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 
 use fernscale_mesh::node::Event as Told;
 use fernscale_mesh::packet::State;
@@ -24,6 +24,8 @@
 const LIFE: Micros = 600 * SECOND;
 /// Until all have met at first, as the processes have when the load begins.
 const MET: Micros = 3 * SECOND;
+/// From SIGTERM until a process has left the others.
+const ENDS: Micros = 700 * MILLISECOND;
 /// After the last addition, until everybody is asked.
 const TOLD: Micros = 2 * SECOND;
 
@@ -33,6 +35,8 @@
     Stop(u32, Stop),
     /// What a stop is followed by.
     Again(u32, Stop),
+    /// One that was told to end is gone.
+    Gone(u32),
 }
 
 /// One run of it.
@@ -45,10 +49,15 @@
     plan: BinaryHeap<Reverse<(Micros, usize)>>,
     acts: Vec<Act>,
     left_out: u32,
+    /// Those that have been told to end.
+    ends: BTreeSet<usize>,
 }
 
-/// What it comes to: for each rule of the judge whether it was kept, and the faults that have no sense here.
-pub fn play(scenario: &Scenario) -> (Vec<(&'static str, u64)>, u32) {
+/// What a rule of the judge came to: its name, how often it was broken, and some of the times.
+pub type Rule = (&'static str, u64, Vec<String>);
+
+/// What it comes to: each rule of the judge, and how many faults have no sense here.
+pub fn play(scenario: &Scenario) -> (Vec<Rule>, u32) {
     let count = scenario.fleet.gateways;
     let size = Size {
         gateways: count,
@@ -65,11 +74,13 @@
         plan: BinaryHeap::new(),
         acts: Vec::new(),
         left_out: 0,
+        ends: BTreeSet::new(),
     };
     run.mesh.weather = Weather::FAIR;
     run.all();
-    let rules = run.judge.rules().into_iter().map(|(name, broken)| (name, broken.count)).collect();
-    (rules, run.left_out)
+    let rules = run.judge.rules().into_iter();
+    let rules = rules.map(|(name, broken)| (name, broken.count, broken.instances.clone()));
+    (rules.collect(), run.left_out)
 }
 
 impl Run<'_> {
@@ -173,13 +184,20 @@
                         self.mesh.kill(at);
                     }
                     Stop::Leave | Stop::Restart if runs => {
+                        // It adds nothing more, and leaves a while later, as a process does.
                         self.tell(Event::Ends { gateway });
-                        self.mesh.leave(at);
+                        self.ends.insert(at);
+                        let after = self.mesh.now + ENDS - MET;
+                        self.plans(after, Act::Gone(gateway));
                     }
                     Stop::Start if !runs => self.start(gateway),
                     _ => {}
                 }
             }
+            Act::Gone(gateway) => {
+                self.mesh.leave(gateway as usize);
+                self.ends.remove(&(gateway as usize));
+            }
             Act::Again(gateway, Stop::Pause) => {
                 if self.mesh.node(gateway as usize).is_some() {
                     self.mesh.resume(gateway as usize);
@@ -247,7 +265,7 @@
             }
             let count = self.mesh.count();
             for at in 0..count {
-                if adds && self.mesh.runs(at) {
+                if adds && self.mesh.runs(at) && !self.ends.contains(&at) {
                     // Those who share it are some in a row.
                     let first = (at + count - self.chance.gen_range(0..SPREAD.min(count))) % count;
                     let name = format!("q:{first:016x}");
--- a/crates/lab/tests/storms.rs
+++ b/crates/lab/tests/storms.rs
@@ -152,7 +152,7 @@
 between = { from = [0, 1, 2, 3, 4, 5], how = "lose", amount = 0.2 }
 "#;
     let (rules, left_out) = virtual_time::play(&scenario(faults));
-    assert!(rules.iter().all(|(_, broken)| *broken == 0) && left_out == 0, "{rules:?}");
+    assert!(rules.iter().all(|(_, broken, _)| *broken == 0) && left_out == 0, "{rules:?}");
     let hasty = BASE.replace("mesh = true", "mesh = true\nagree-within = \"100ms\"");
     let (rules, _) = virtual_time::play(&parse("here", &format!("{hasty}{faults}")).expect("a scenario"));
     assert!(rules[0].0 == "members" && rules[0].1 > 0, "{rules:?}");
