A clock that steps and an advertised address are tested as processes

Need: each kind of fault is to have a small test that it bites. Change: a gateway whose clock steps 20 s is not believed until it is right again, one 5 s off is; others know a gateway by the address it advertises, and reach it there.

--- a/crates/cli/tests/mesh.rs
+++ b/crates/cli/tests/mesh.rs
@@ -115,7 +115,10 @@
 
     /// Another ring of keys, by a new configuration.
     fn turn(&self, keys: &[&str]) {
-        let text = config(&self.name, self.listen, self.mesh, self.seed, keys);
+        self.turn_to(&config(&self.name, self.listen, self.mesh, self.seed, keys));
+    }
+
+    fn turn_to(&self, text: &str) {
         std::fs::write(&self.file, text).expect("written");
         let signal = Command::new("kill").args(["-HUP", &self.process.id().to_string()]).status();
         assert!(signal.expect("sent").success());
@@ -137,6 +140,58 @@
     first.comes_to_tell("dead");
 }
 
+#[test]
+fn a_clock_that_steps_too_far_is_not_believed_until_it_is_right_again() {
+    let first = Gateway::start("a", None, &[OLD]);
+    let second = Gateway::start("b", Some(&first), &[OLD]);
+    first.comes_to_see(&["b"]);
+    let right = config("b", second.listen, second.mesh, second.seed, &[OLD]);
+    second.turn_to(&format!("{right}\n[trials]\nclock-ahead = \"20s\"\n"));
+    first.comes_to_see(&[]);
+    second.turn_to(&right);
+    first.comes_to_see(&["b"]);
+    // Some seconds off are as clocks are.
+    second.turn_to(&format!("{right}\n[trials]\nclock-behind = \"5s\"\n"));
+    std::thread::sleep(Duration::from_secs(2));
+    first.comes_to_see(&["b"]);
+}
+
+#[test]
+fn others_are_told_the_address_that_is_advertised_and_may_find_it_there() {
+    let first = Gateway::start("a", None, &[OLD]);
+    let (real, told) = (free(), free());
+    // What is sent to the address told is passed on to the real one, and nothing else knows that.
+    let forward = UdpSocket::bind(told).expect("a socket");
+    std::thread::spawn(move || {
+        let mut bytes = [0; 2_000];
+        while let Ok((length, _)) = forward.recv_from(&mut bytes) {
+            let _ = forward.send_to(&bytes[..length], real);
+        }
+    });
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("fernscale.toml");
+    let text = config("b", free(), real, first.mesh, &[OLD]);
+    let listen = format!("listen = \"{real}\"");
+    std::fs::write(&file, text.replace(&listen, &format!("{listen}\nadvertise = \"{told}\"")))
+        .expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fernscale"));
+    command.arg("--config").arg(&file).env_remove("BALANCER_CONFIG").stderr(Stdio::null());
+    let process = command.spawn().expect("it starts");
+    let second = Gateway {
+        process,
+        file,
+        listen: real,
+        mesh: real,
+        seed: first.mesh,
+        name: "b".into(),
+        _folder: folder,
+    };
+    first.comes_to_see(&["b"]);
+    let view = String::from_utf8_lossy(&first.members(&["--json"]).stdout).into_owned();
+    assert!(view.contains(&told.to_string()) && !view.contains(&real.to_string()), "{view}");
+    second.comes_to_see(&["a"]);
+}
+
 #[test]
 fn a_stranger_learns_nothing_and_changes_nothing() {
     let first = Gateway::start("a", None, &[OLD]);
