--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod files;
 pub mod frame;
 pub mod store;
+pub mod tried;
 
 pub use store::{Batch, Durability, Error, Options, Report, Store};
--- /dev/null
+++ b/crates/store/src/tried.rs
@@ -0,0 +1,130 @@
+//! A folder that is full, slow or failing on purpose, before any other: for trials of what uses the store, without privileges.
+//!
+//! The quota counts what the files of the folder hold, as a file system would. What it stands before does the rest, so that
+//! what is written is really there, and a process that starts again finds it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::files::{Files, Handle};
+
+/// What is wrong with a folder; it may change while the folder is in use.
+#[derive(Debug, Default)]
+pub struct Wrong {
+    /// Bytes that all files together may hold.
+    pub quota: Cell<Option<u64>>,
+    /// Every sync takes so much longer. The caller waits for it, as it would for a slow disk.
+    pub slow: Cell<Duration>,
+    /// Every sync fails, and nobody knows what of it was done.
+    pub fails: Cell<bool>,
+    lengths: RefCell<BTreeMap<String, u64>>,
+}
+
+impl Wrong {
+    fn full() -> io::Error {
+        io::Error::from(io::ErrorKind::StorageFull)
+    }
+
+    /// Whether a file may have this length from now on.
+    fn takes(&self, name: &str, length: u64) -> io::Result<()> {
+        let mut lengths = self.lengths.borrow_mut();
+        let others: u64 = lengths.iter().filter(|(own, _)| *own != name).map(|(_, length)| length).sum();
+        let known = lengths.get(name).copied().unwrap_or(0);
+        if length > known && self.quota.get().is_some_and(|quota| others + length > quota) {
+            return Err(Wrong::full());
+        }
+        lengths.insert(name.into(), length);
+        Ok(())
+    }
+
+    fn syncs(&self) -> io::Result<()> {
+        if !self.slow.get().is_zero() {
+            std::thread::sleep(self.slow.get());
+        }
+        match self.fails.get() {
+            true => Err(io::Error::other("a sync that fails on purpose")),
+            false => Ok(()),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Tried<F> {
+    inner: F,
+    wrong: Rc<Wrong>,
+}
+
+impl<F> Tried<F> {
+    pub fn new(inner: F, wrong: &Rc<Wrong>) -> Self {
+        Tried { inner, wrong: wrong.clone() }
+    }
+}
+
+#[derive(Debug)]
+pub struct TriedFile<H> {
+    inner: H,
+    name: String,
+    wrong: Rc<Wrong>,
+}
+
+impl<F: Files> Files for Tried<F> {
+    type Handle = TriedFile<F::Handle>;
+
+    fn lock(&mut self) -> io::Result<()> {
+        self.inner.lock()
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        self.inner.list()
+    }
+
+    fn open(&mut self, name: &str, create: bool) -> io::Result<Self::Handle> {
+        if create && self.wrong.quota.get() == Some(0) {
+            return Err(Wrong::full());
+        }
+        let inner = self.inner.open(name, create)?;
+        self.wrong.lengths.borrow_mut().insert(name.into(), inner.length()?);
+        Ok(TriedFile { inner, name: name.into(), wrong: self.wrong.clone() })
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.inner.remove(name)?;
+        self.wrong.lengths.borrow_mut().remove(name);
+        Ok(())
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.wrong.syncs()?;
+        self.inner.sync_names()
+    }
+}
+
+impl<H: Handle> Handle for TriedFile<H> {
+    fn length(&self) -> io::Result<u64> {
+        self.inner.length()
+    }
+
+    fn read(&self, at: u64, into: &mut [u8]) -> io::Result<()> {
+        self.inner.read(at, into)
+    }
+
+    fn write(&mut self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        let length = self.inner.length()?.max(at + bytes.len() as u64);
+        self.wrong.takes(&self.name, length)?;
+        self.inner.write(at, bytes)
+    }
+
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.inner.cut(length)?;
+        self.wrong.lengths.borrow_mut().insert(self.name.clone(), length);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.wrong.syncs()?;
+        self.inner.sync()
+    }
+}
