Suspects are asked themselves; the record of a gateway taken for gone names its run

Change: each period up to three suspects are pinged, which tells them that they are suspected, and their answer carries the refutation; mesh.starts, mesh.gone and the like name the run, and the judge holds only the present one. Ruled out: a longer suspicion, which makes the dead known later.

--- a/crates/gateway/src/routing/mesh.rs
+++ b/crates/gateway/src/routing/mesh.rs
@@ -92,6 +92,7 @@
         let socket = Async::<UdpSocket>::bind(address)?;
         let told = settings.advertise.unwrap_or(address);
         let me = Peer { name: name.into(), instance: Instance(rand::random()), address: told };
+        let run = run(&me);
         let sealer = Sealer::new(settings.keys.clone(), me.instance);
         let sealer = sealer.ok_or_else(|| io::Error::other("the mesh has no key"))?;
         let config = Config { me, seeds: settings.seeds.clone() };
@@ -108,7 +109,7 @@
             shared: shared.clone(),
         });
         info!(shared.log, #"mesh.starts", "speaks with other gateways"; "listen" => address.to_string(),
-            "advertise" => told.to_string(), "seeds" => settings.seeds.len());
+            "advertise" => told.to_string(), "run" => run, "seeds" => settings.seeds.len());
         mesh.until_left(mesh.clone().keep_time());
         mesh.until_left(mesh.clone().hear());
         mesh.until_left(mesh.clone().exchanges(listener));
@@ -321,18 +322,29 @@
     }
 }
 
+/// Tells one run of a gateway from another, in the log.
+fn run(peer: &Peer) -> String {
+    format!("{:016x}", peer.instance.0)
+}
+
 fn tell(log: &Logger, event: &Event) {
     let of = |peer: &Peer| format!("{} at {}", peer.name, peer.address);
     match event {
-        Event::Joined(peer) => info!(log, #"mesh.joined", "a gateway is there"; "peer" => of(peer)),
+        Event::Joined(peer) => {
+            info!(log, #"mesh.joined", "a gateway is there"; "peer" => of(peer), "run" => run(peer))
+        }
         Event::Suspected(peer) => {
-            info!(log, #"mesh.suspected", "a gateway does not answer"; "peer" => of(peer))
+            info!(log, #"mesh.suspected", "a gateway does not answer"; "peer" => of(peer), "run" => run(peer))
         }
         Event::Cleared(peer) => {
-            info!(log, #"mesh.cleared", "a gateway is there after all"; "peer" => of(peer))
+            info!(log, #"mesh.cleared", "a gateway is there after all"; "peer" => of(peer), "run" => run(peer))
+        }
+        Event::Gone(peer) => {
+            warn!(log, #"mesh.gone", "a gateway is taken for gone"; "peer" => of(peer), "run" => run(peer))
+        }
+        Event::Left(peer) => {
+            info!(log, #"mesh.left", "a gateway has left"; "peer" => of(peer), "run" => run(peer))
         }
-        Event::Gone(peer) => warn!(log, #"mesh.gone", "a gateway is taken for gone"; "peer" => of(peer)),
-        Event::Left(peer) => info!(log, #"mesh.left", "a gateway has left"; "peer" => of(peer)),
         Event::NameTwice(one, other) => warn!(log, #"mesh.name-twice", "two gateways go by one name";
             "peer" => of(one), "other" => of(other)),
     }
--- a/crates/lab/src/judges/fleet.rs
+++ b/crates/lab/src/judges/fleet.rs
@@ -62,6 +62,8 @@
     size: Size,
     states: Vec<State>,
     started: Vec<Micros>,
+    /// The run of each that speaks now, as it said itself.
+    runs: BTreeMap<u32, String>,
     clocks: Vec<i64>,
     /// How many faults keep datagrams from one to another.
     parted: BTreeMap<(u32, u32), u32>,
@@ -85,6 +87,7 @@
         Fleet {
             states: vec![State::Away; count],
             started: vec![0; count],
+            runs: BTreeMap::new(),
             clocks: vec![0; count],
             parted: BTreeMap::new(),
             reached: vec![None; count],
@@ -139,6 +142,11 @@
         let address = peer.rsplit(' ').next().unwrap_or_default();
         let Some(of) = self.size.addresses.iter().position(|own| own == address) else { return };
         let of = of as u32;
+        // One that has started again is another, and its earlier run has ended.
+        let run = fields.get("run").and_then(serde_json::Value::as_str);
+        if run.zip(self.runs.get(&of)).is_some_and(|(run, now)| run != now) {
+            return;
+        }
         let long = |since: Option<Micros>| since.is_some_and(|since| since + WITHIN_REACH + within <= at);
         if long(self.reached[of as usize]) && long(self.reached[teller as usize]) {
             let what = format!("gateway {teller} took gateway {of} for gone, which a majority could reach");
@@ -245,6 +253,10 @@
                 self.mended = Some(at);
                 self.changed(at);
             }
+            Event::Record { gateway, event, fields, .. } if event == "mesh.starts" => {
+                let run = fields.get("run").and_then(serde_json::Value::as_str);
+                self.runs.extend(run.map(|run| (*gateway, run.to_string())));
+            }
             Event::Record { gateway, event, fields, within } if event == "mesh.gone" => {
                 self.gone(at, *gateway, fields, *within);
             }
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -90,6 +90,7 @@
                 self.mesh.kill(gateway as usize);
             } else {
                 self.tell(Event::Started { gateway });
+                self.says_run(gateway);
             }
         }
         self.go(MET, false);
@@ -215,6 +216,13 @@
     fn start(&mut self, gateway: u32) {
         self.tell(Event::Started { gateway });
         self.mesh.start(gateway as usize);
+        self.says_run(gateway);
+    }
+
+    fn says_run(&mut self, gateway: u32) {
+        let Some(node) = self.mesh.node(gateway as usize) else { return };
+        let fields = json!({ "run": format!("{:016x}", node.me().instance.0) });
+        self.tell(Event::Record { gateway, event: "mesh.starts".into(), fields, within: 0 });
     }
 
     fn begin(&mut self, number: usize) {
@@ -258,7 +266,8 @@
             let events = std::mem::take(&mut self.mesh.events);
             for (at, teller, event) in events {
                 if let Told::Gone(peer) = event {
-                    let fields = json!({ "peer": format!("{} at {}", peer.name, peer.address) });
+                    let run = format!("{:016x}", peer.instance.0);
+                    let fields = json!({ "peer": format!("{} at {}", peer.name, peer.address), "run": run });
                     let event = "mesh.gone".into();
                     self.judge.hear(at, &Event::Record { gateway: teller as u32, event, fields, within: 0 });
                 }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -100,6 +100,22 @@
     assert_eq!(broken(&judge), [0, 0, 0]);
 }
 
+#[test]
+fn an_earlier_run_of_a_gateway_may_be_taken_for_gone_and_its_present_one_not() {
+    let of_run = |run: &str| {
+        let Event::Record { gateway, event, mut fields, within } = gone(0, 1) else { panic!("a record") };
+        fields["run"] = json!(run);
+        Event::Record { gateway, event, fields, within }
+    };
+    let mut judge = started();
+    let fields = json!({ "run": "b" });
+    judge.hear(SECOND, &Event::Record { gateway: 1, event: "mesh.starts".into(), fields, within: 0 });
+    judge.hear(20 * SECOND, &of_run("a"));
+    assert_eq!(broken(&judge), [0, 0, 0]);
+    judge.hear(20 * SECOND, &of_run("b"));
+    assert_eq!(broken(&judge), [0, 1, 0]);
+}
+
 fn added(gateway: u32, amount: f64) -> Event {
     Event::Added { gateway, count: "q".into(), amount, life: 60 * SECOND }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -348,6 +348,7 @@
             self.next_period = now + PERIOD;
             self.age(now);
             self.probe_next(now);
+            self.ask_suspects(now);
         }
         if now >= self.next_spread {
             self.next_spread = now + SPREAD;
@@ -422,6 +423,18 @@
         }
     }
 
+    /// Whoever is suspected is asked itself, and so told that it is. Danger: its refutation goes round by others' words, and
+    /// where some of those are lost one may miss it, and take a live gateway for gone.
+    fn ask_suspects(&mut self, now: Micros) {
+        let suspects = self.members.values().filter(|member| member.state == State::Suspect);
+        let suspects: Vec<_> = suspects.map(|member| member.peer.address).collect();
+        let some: Vec<_> = suspects.choose_multiple(&mut self.chance, ASKED).copied().collect();
+        for to in some {
+            let number = self.number();
+            self.send(now, to, Word::Ping(number));
+        }
+    }
+
     fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
