--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -296,7 +296,7 @@
         Gateway::unready_with(discovery, known, sockets, |config| config)
     }
 
-    fn unready_with(
+    pub fn unready_with(
         discovery: SocketAddr,
         known: &str,
         sockets: usize,
