Log turns that hold the event loop, and each request's attempts and answer by its id

Change: a turn of the event loop that takes 20 ms or more is told with what it handled (loop.held); at the level debug every request has records of its arrival, attempts and their ends, answer or cancellation. The host of the decision module moved to a file of its own (routing/host.rs), as module.rs was the largest in routing.

--- /dev/null
+++ b/crates/gateway/src/routing/host.rs
@@ -0,0 +1,84 @@
+//! The host that the decision module calls: it carries nothing out, but writes the actions down in their order for the
+//! module's actor.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Instant;
+
+use fernscale::interface::{Host, Id, Micros};
+use slog::{info, Logger};
+
+use super::counter::Add;
+use super::{list, peer};
+use crate::protocol::call::Answer;
+
+/// What the module wants done, in its order.
+pub enum Action {
+    Send { transaction: Id, server: Id, limit: Micros },
+    Cancel { transaction: Id, trip: usize },
+    Answer(Id, Answer),
+    Alarm(Micros, Box<str>),
+    Server(Id, peer::Order),
+    Add(Add),
+    List(list::Order),
+}
+
+/// The time that the module is told, and what it has asked for.
+pub struct Desk {
+    pub now: Micros,
+    pub actions: VecDeque<Action>,
+    pub log: Logger,
+}
+
+/// The decision module's [`Host`]: it writes down what is to be done.
+pub struct Hands(pub Rc<RefCell<Desk>>);
+
+impl Hands {
+    fn note(&self, action: Action) {
+        self.0.borrow_mut().actions.push_back(action);
+    }
+}
+
+impl Host for Hands {
+    fn now(&self) -> Micros {
+        self.0.borrow().now
+    }
+    fn send(&mut self, transaction: &Id, server: &Id, limit: Micros) {
+        self.note(Action::Send { transaction: transaction.clone(), server: server.clone(), limit });
+    }
+    fn cancel(&mut self, transaction: &Id, trip: usize) {
+        self.note(Action::Cancel { transaction: transaction.clone(), trip });
+    }
+    fn nack(&mut self, transaction: &Id, wait: Micros) {
+        self.note(Action::Answer(transaction.clone(), Answer::Nacked(wait)));
+    }
+    fn abandon(&mut self, transaction: &Id) {
+        self.note(Action::Answer(transaction.clone(), Answer::Abandoned));
+    }
+    fn set_alarm(&mut self, delay: Micros, token: &str) {
+        let at = self.now() + delay;
+        self.note(Action::Alarm(at, token.into()));
+    }
+    fn probe(&mut self, server: &Id) {
+        self.note(Action::Server(server.clone(), peer::Order::Probe));
+    }
+    fn close_idle(&mut self, server: &Id) {
+        self.note(Action::Server(server.clone(), peer::Order::CloseIdle));
+    }
+    fn add(&mut self, count: &str, amount: f64, life: Micros) {
+        self.note(Action::Add(Add { count: count.into(), amount, life, made: Instant::now() }));
+    }
+    fn follow_list(&mut self, on: bool) {
+        self.note(Action::List(list::Order::Follow(on)));
+    }
+    fn fetch_list(&mut self) {
+        self.note(Action::List(list::Order::Fetch));
+    }
+    fn tell(&mut self, _gateway: Option<u32>, _data: &[u8]) {
+        // Gateways have no way to each other here, as where a message is lost.
+    }
+    fn report(&mut self, text: &str) {
+        info!(self.0.borrow().log, #"module.says", "module"; "text" => text);
+    }
+}
--- a/crates/gateway/src/routing/list.rs
+++ b/crates/gateway/src/routing/list.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use slog::{info, warn};
 
+use super::turns::Turn;
 use super::{Event, Shared};
 use crate::protocol::catalog::{self, Members, Refused};
 use crate::protocol::http;
@@ -201,7 +202,10 @@
             other => other,
         };
         let body = body.map_err(|why| Refused { why, index: None, leaving: Vec::new() })?;
-        let members = catalog::members(&body, &self.shared.outside)?;
+        let timed = Turn::begin("reading a server list");
+        let members = catalog::members(&body, &self.shared.outside);
+        timed.end(&self.shared.log);
+        let members = members?;
         if members.full || !members.servers.is_empty() {
             let (index, full) = (members.index, members.full);
             info!(self.shared.log, #"discovery.list", "list"; "index" => index, "full" => full, "servers" => members.servers.len());
@@ -225,7 +229,10 @@
         if response.status != 200 {
             return Err(format!("status {}", response.status));
         }
-        serde_json::from_slice(&response.body).map_err(|error| error.to_string())
+        let timed = Turn::begin("parsing a server list");
+        let parsed = serde_json::from_slice(&response.body).map_err(|error| error.to_string());
+        timed.end(&self.shared.log);
+        parsed
     }
 
     /// The answer to a call, or to one that an agent has been late with: nothing has been heard since.
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -5,12 +5,14 @@
 pub mod counter;
 pub mod figures;
 pub mod handover;
+pub mod host;
 pub mod leavers;
 pub mod list;
 pub mod module;
 pub mod operator;
 pub mod outcome;
 pub mod peer;
+pub mod turns;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeSet;
@@ -124,6 +126,26 @@
     ListLate,
 }
 
+impl Event {
+    /// What the log calls a turn that handles this.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Event::Asked(_) => "request",
+            Event::Dropped(..) => "cancel",
+            Event::Flowing { .. } => "streaming answer",
+            Event::Returned(_) => "attempt's end",
+            Event::Probed { .. } => "probe's end",
+            Event::Counted { .. } | Event::Known { .. } => "shared counter",
+            Event::Counter(_) => "new counter",
+            Event::List(_) => "server list",
+            Event::ListFailed | Event::ListLate => "failed server list",
+            Event::Leaving(_) => "refused server list",
+            Event::Subsets => "subsets",
+            Event::Signals => "signals",
+        }
+    }
+}
+
 pub struct Asked {
     pub call: Call,
     pub reply: Reply,
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -7,16 +7,18 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender, TrySendError};
-use fernscale::interface::{Host, Id, Listed, Load, Micros, Outcome, Returned, Settings, State};
+use fernscale::interface::{Id, Listed, Load, Micros, Outcome, Returned, Settings, State};
 use fernscale::policy::Gateway;
 use futures_lite::{future, StreamExt};
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn};
 
 use fernscale_tally::tally::{self, End, Step, Tally};
 
 use super::counter::Add;
 use super::figures::Pool;
+use super::host::{Action, Desk, Hands};
 use super::outcome::{self, Lost, Told};
+use super::turns::Turn as Timed;
 use super::{list, operator, peer, Asked, Event, Final, Reply, Return, Shared};
 use crate::fleet::signals;
 use crate::fleet::subsets::Change;
@@ -25,75 +27,6 @@
 use crate::transport::clock::Alarm;
 use crate::transport::ending::Ending;
 
-/// What the module wants done, in its order.
-enum Action {
-    Send { transaction: Id, server: Id, limit: Micros },
-    Cancel { transaction: Id, trip: usize },
-    Answer(Id, Answer),
-    Alarm(Micros, Box<str>),
-    Server(Id, peer::Order),
-    Add(Add),
-    List(list::Order),
-}
-
-struct Desk {
-    now: Micros,
-    actions: VecDeque<Action>,
-    log: Logger,
-}
-
-/// The module's hands: they write down what is to be done.
-struct Hands(Rc<RefCell<Desk>>);
-
-impl Hands {
-    fn note(&self, action: Action) {
-        self.0.borrow_mut().actions.push_back(action);
-    }
-}
-
-impl Host for Hands {
-    fn now(&self) -> Micros {
-        self.0.borrow().now
-    }
-    fn send(&mut self, transaction: &Id, server: &Id, limit: Micros) {
-        self.note(Action::Send { transaction: transaction.clone(), server: server.clone(), limit });
-    }
-    fn cancel(&mut self, transaction: &Id, trip: usize) {
-        self.note(Action::Cancel { transaction: transaction.clone(), trip });
-    }
-    fn nack(&mut self, transaction: &Id, wait: Micros) {
-        self.note(Action::Answer(transaction.clone(), Answer::Nacked(wait)));
-    }
-    fn abandon(&mut self, transaction: &Id) {
-        self.note(Action::Answer(transaction.clone(), Answer::Abandoned));
-    }
-    fn set_alarm(&mut self, delay: Micros, token: &str) {
-        let at = self.now() + delay;
-        self.note(Action::Alarm(at, token.into()));
-    }
-    fn probe(&mut self, server: &Id) {
-        self.note(Action::Server(server.clone(), peer::Order::Probe));
-    }
-    fn close_idle(&mut self, server: &Id) {
-        self.note(Action::Server(server.clone(), peer::Order::CloseIdle));
-    }
-    fn add(&mut self, count: &str, amount: f64, life: Micros) {
-        self.note(Action::Add(Add { count: count.into(), amount, life, made: Instant::now() }));
-    }
-    fn follow_list(&mut self, on: bool) {
-        self.note(Action::List(list::Order::Follow(on)));
-    }
-    fn fetch_list(&mut self) {
-        self.note(Action::List(list::Order::Fetch));
-    }
-    fn tell(&mut self, _gateway: Option<u32>, _data: &[u8]) {
-        // Gateways have no way to each other here, as where a message is lost.
-    }
-    fn report(&mut self, text: &str) {
-        info!(self.0.borrow().log, #"module.says", "module"; "text" => text);
-    }
-}
-
 /// A transaction from its arrival until it is answered and no trip is out.
 struct Held {
     call: Rc<Call>,
@@ -199,7 +132,11 @@
             };
             match turn {
                 Turn::Operate(order) => self.operate(order),
-                Turn::Event(event) => self.tell(event),
+                Turn::Event(event) => {
+                    let timed = Timed::begin(event.name());
+                    self.tell(event);
+                    timed.end(&self.shared.log);
+                }
                 Turn::Ring => {}
             }
             self.act().await;
@@ -213,7 +150,9 @@
         while let Some(alarm) = self.alarms.first_entry().filter(|alarm| alarm.key().0 <= now) {
             let token = alarm.remove();
             self.look_at_clock();
+            let timed = Timed::begin("alarm");
             self.gateway.alarm(&token);
+            timed.end(&self.shared.log);
             self.act().await;
         }
     }
@@ -267,6 +206,7 @@
                 // Who used the id of another's must not take that one's answer along.
                 let its = |reply: &mut Reply| reply.ticket == ticket;
                 if self.held.get_mut(&id).is_some_and(|held| held.reply.take_if(its).is_some()) {
+                    debug!(self.shared.log, #"request.cancelled", "its client has left"; "id" => &*id);
                     self.gateway.dropped(&id);
                     self.forget(&id);
                 }
@@ -315,6 +255,8 @@
         let waited = came.elapsed().as_micros() as Micros;
         transaction.left = transaction.left.saturating_sub(waited);
         let hard_stop = self.desk.borrow().now + transaction.left;
+        debug!(self.shared.log, #"request.accepted", "a request"; "id" => &*transaction.id,
+            "tenant" => &*transaction.customer, "class" => transaction.lane, "left_us" => transaction.left);
         let (call, trips) = (Rc::new(call), Vec::new());
         let held = Held { call, reply: Some(reply), hard_stop, trips, out: 0 };
         self.held.insert(transaction.id.clone(), held);
@@ -323,6 +265,8 @@
 
     fn returned(&mut self, end: Return) {
         let outcome = outcome::of_trip(&end.end);
+        debug!(self.shared.log, #"attempt.ended", "an attempt has ended"; "id" => &*end.transaction, "attempt" => end.trip,
+            "server" => &*end.server, "outcome" => ?outcome, "how" => ?end.end.as_ref().err(), "took_us" => end.took);
         let Some(held) = self.held.get_mut(&end.transaction) else { return };
         held.out -= 1;
         let met = outcome::met(end.took, &end.end);
@@ -333,6 +277,7 @@
                 Said::Settled { value, units: settled } => {
                     units = settled;
                     if let Some(reply) = held.reply.take() {
+                        debug!(self.shared.log, #"request.answered", "served"; "id" => &*end.transaction, "as" => "served");
                         answer(reply, Answer::Settled(value));
                     }
                 }
@@ -465,6 +410,7 @@
             }
             Action::Answer(id, said) => {
                 if let Some(reply) = self.held.get_mut(&id).and_then(|held| held.reply.take()) {
+                    debug!(self.shared.log, #"request.answered", "given up"; "id" => &*id, "as" => ?said);
                     answer(reply, said);
                 }
                 self.forget(&id);
@@ -504,6 +450,8 @@
         held.out += 1;
         let left = held.hard_stop.saturating_sub(now);
         let limit = if limit == 0 { left } else { limit.min(left) };
+        debug!(self.shared.log, #"attempt.begun", "an attempt"; "id" => &*transaction, "attempt" => trip,
+            "server" => &*server, "limit_us" => limit);
         if let (Some(orders), true) = (orders, left > 0) {
             let order = peer::Order::Trip { call: held.call.clone(), trip, limit, made: Instant::now() };
             if orders.send(order).await.is_ok() {
