Lists cost by what is new in them, requests by the servers in use; neither holds the loop

Ruled out: parsing alone (under 20 ms of the 118), refused lists, places, memory. Change: a list is read in slices of 64 entries that come round by the reactor, entries known to the letter are not parsed again; what leaves holds from the moment it is read; the module is told only what is new; servers' actors start with their first order; the policy keeps its servers in slots with the dealt ones at hand (state.rs, Servers). The same mistake in related code: chunks of a response were decoded from the first one on with each piece that came (http.rs, Reader); who had left longest was searched anew for each server beyond the bound (leavers.rs); the start copied all known servers to compare settings (config.rs).

--- a/crates/fernscale/src/interface.rs
+++ b/crates/fernscale/src/interface.rs
@@ -144,7 +144,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     pub server: Id,
     pub zone: u32,
--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
-use crate::state::{phase, Calls, Customer, Open, Server, Trip, Work};
+use crate::state::{phase, Calls, Customer, Open, Server, Servers, Trip, Work};
 
 const SECOND: Micros = 1_000_000;
 /// Pause while something waits for a server, µs: short beside any agreed time.
@@ -99,7 +99,7 @@
     born: Micros,
     /// Of this gateway's ceilings and cold budgets, where another process has the rest.
     part: f64,
-    servers: BTreeMap<Id, Server>,
+    servers: Servers,
     customers: BTreeMap<Id, Customer>,
     open: HashMap<Id, Open>,
     dues: BTreeSet<(Micros, Id)>,
@@ -130,7 +130,7 @@
             chance: ChaCha8Rng::seed_from_u64(settings.seed),
             born,
             part: 1.0,
-            servers: BTreeMap::new(),
+            servers: Servers::default(),
             customers: BTreeMap::new(),
             open: HashMap::new(),
             dues: BTreeSet::new(),
@@ -266,17 +266,21 @@
     pub fn list(&mut self, full: bool, entries: &[Listed]) {
         let now = self.host.now();
         self.misses = 0;
+        if !full && entries.is_empty() {
+            return;
+        }
         self.servers.values_mut().for_each(|server| server.ready &= !full);
         for entry in entries {
-            let server = self.servers.entry(entry.server.clone()).or_default();
+            let server = self.servers.entry(&entry.server);
             if server.cap == 0.0 || server.started != entry.started {
                 // New, or started anew: what was learnt no longer holds, and all gateways hear of it at once.
-                *server = server.anew(entry.started, self.chance.gen(), now);
+                self.servers.renew(&entry.server, entry.started, self.chance.gen(), now);
             }
+            let server = self.servers.entry(&entry.server);
             (server.zone, server.cell, server.rating) = (entry.zone, entry.cell, entry.rating);
             server.ready = entry.state == State::Ready;
         }
-        self.servers.retain(|_, server| server.ready || server.out > 0 || now < server.kept);
+        self.servers.retain(|server| server.ready || server.out > 0 || now < server.kept);
         self.deal(now);
     }
 
@@ -295,40 +299,39 @@
     }
 
     fn deal(&mut self, now: Micros) {
+        let (settings, subset, work) = (&self.settings, &self.subset, &mut self.work);
+        let fits = |server: &Server| server.ready && !server.barred;
         // Each of too many gateways takes a row of servers from its own place, which a new list moves little.
-        self.servers.values_mut().for_each(|server| server.mine = false);
-        let ready = self.servers.iter().filter(|(_, server)| server.ready && !server.barred);
-        let mut row: Vec<(u64, Id)> = ready.map(|(id, _)| (phase(id, Micros::MAX), id.clone())).collect();
-        row.sort();
-        let (all, gateways) = (row.len().max(1), self.settings.gateways.max(1) as usize);
-        let part = (all / (gateways / SHARED_BY).max(1)).max(FEWEST).min(all);
-        let first = self.settings.me as usize % gateways * all / gateways;
-        let by_row = ((gateways * part) as f64 / all as f64).max(1.0);
-        self.work.shared = self.subset.as_ref().map_or(by_row, |subset| subset.shared_by);
-        let cap = FIRST_CAPS / self.work.shared;
-        self.work.least = (LEAST_CAPS / self.work.shared).min(1.0);
-        for (place, (_, id)) in row.iter().enumerate() {
-            let Some(server) = self.servers.get_mut(id) else { continue };
-            let rating = Some(server.rating).filter(|_| (place + all - first) % all < part);
-            let part = self.subset.as_ref().map_or(rating, |subset| subset.parts.get(id).copied());
-            (server.mine, server.part) = (part.is_some(), part.unwrap_or(server.rating));
-            if server.cap == 0.0 {
-                let cold = server.started.is_some_and(|at| now < at + self.settings.warm_up);
-                server.cap = if cold { 0.5 * cap } else { cap };
+        self.servers.deal(fits, |row| {
+            let (all, gateways) = (row.len().max(1), settings.gateways.max(1) as usize);
+            let part = (all / (gateways / SHARED_BY).max(1)).max(FEWEST).min(all);
+            let first = settings.me as usize % gateways * all / gateways;
+            let by_row = ((gateways * part) as f64 / all as f64).max(1.0);
+            work.shared = subset.as_ref().map_or(by_row, |subset| subset.shared_by);
+            let cap = FIRST_CAPS / work.shared;
+            work.least = (LEAST_CAPS / work.shared).min(1.0);
+            for (place, (id, server)) in row.iter_mut().enumerate() {
+                let rating = Some(server.rating).filter(|_| (place + all - first) % all < part);
+                let part = subset.as_ref().map_or(rating, |subset| subset.parts.get(*id).copied());
+                (server.mine, server.part) = (part.is_some(), part.unwrap_or(server.rating));
+                if server.cap == 0.0 {
+                    let cold = server.started.is_some_and(|at| now < at + settings.warm_up);
+                    server.cap = if cold { 0.5 * cap } else { cap };
+                }
             }
-        }
+        });
     }
 
     /// The operators leave a server out of use, whatever the list says of it.
     pub fn cordon(&mut self, server: &Id) {
         self.host.close_idle(server);
-        let server = self.servers.entry(server.clone()).or_default();
+        let server = self.servers.entry(server);
         (server.cordoned, server.kept) = (true, Micros::MAX);
     }
 
     /// They called it back then: it has been started anew meanwhile, though the list may not say so yet.
     pub fn uncordon(&mut self, server: &Id, at: Micros) {
-        let (now, server) = (self.host.now(), self.servers.entry(server.clone()).or_default());
+        let (now, server) = (self.host.now(), self.servers.entry(server));
         (server.cordoned, server.recalled, server.kept) = (false, Some(at), at + self.settings.warm_up);
         // It is met at once, by some of many gateways: operators call them all at about one time.
         let met = (FIRST_CAPS / self.work.shared).max(self.chance.gen()).min(1.0);
@@ -638,7 +641,8 @@
 
     /// The servers that first trips may go to.
     fn used(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|server| server.ready && server.mine && !server.cordoned)
+        let dealt = self.servers.dealt().map(|(_, server)| server);
+        dealt.filter(|server| server.ready && server.mine && !server.cordoned)
     }
 
     /// The share of its capacity that a server surely has, by the time since its start.
@@ -688,12 +692,15 @@
             // Where a cap is a share of one trip, it can't keep a server from its turn that serves little.
             (id.clone(), speed * server.cap.min(1.0) * (1.0 - server.lost))
         };
-        let chosen: Vec<(Id, f64)> = self.servers.iter().filter(fits).map(weigh).collect();
+        let chosen: Vec<(Id, f64)> = match bound {
+            None => self.servers.dealt().filter(fits).map(weigh).collect(),
+            Some(_) => self.servers.iter().filter(fits).map(weigh).collect(),
+        };
         let sum = chosen.iter().map(|(_, weight)| weight).sum::<f64>().max(f64::MIN_POSITIVE);
         for (id, weight) in &chosen {
             self.servers.get_mut(id).expect("chosen from these").credit += weight / sum;
         }
-        let credit = |id: &Id| self.servers[id].credit;
+        let credit = |id: &Id| self.servers.get(id).map_or(0.0, |server| server.credit);
         chosen.into_iter().map(|(id, _)| id).rev().max_by(|one, other| credit(one).total_cmp(&credit(other)))
     }
 
@@ -718,8 +725,7 @@
 
     /// What one trip's end tells of its server.
     fn learn(&mut self, end: &Returned, lane: usize, now: Micros) {
-        let lost: f64 = self.servers.values().map(|server| server.lost).sum();
-        let mean = lost / self.servers.len().max(1) as f64;
+        let mean = self.servers.mean_lost();
         let (took, caps, least) = (end.took as f64, self.fill().1, self.work.least);
         // A gateway that has less than one place uses it for a part of the time.
         self.work.free = now + (took * (1.0 / caps.min(1.0) - 1.0)).min(SECOND as f64) as Micros;
@@ -729,11 +735,13 @@
         let overdue = end.outcome != Outcome::Cancelled || took > MONSTER * self.usual[lane];
         if overdue && end.outcome != Outcome::NeverSent {
             let lost = if end.outcome == Outcome::Ok { 0.0 } else { 1.0 };
-            server.lost += NEWEST * (lost - server.lost);
+            let share = server.lost + NEWEST * (lost - server.lost);
             // Where all lose as many the fault is elsewhere, and none is cast out.
-            let worse = (server.lost - mean).max(0.0);
+            let worse = (share - mean).max(0.0);
             server.rests = now + (REST as f64 * lost * worse) as Micros;
+            self.servers.loses(&end.server, share);
         }
+        let Some(server) = self.servers.get_mut(&end.server) else { return };
         if end.outcome == Outcome::Ok {
             let most = 2.0 * self.settings.lanes[lane].agreed as f64;
             self.usual[lane] += STEADY * (took.min(most) - self.usual[lane]);
@@ -773,7 +781,7 @@
     }
 
     fn send(&mut self, id: &Id, to: Id, now: Micros) {
-        let server = &self.servers[&to];
+        let server = self.servers.get(&to).expect("picked from these");
         let cold = (self.share(server, now) < 1.0).then(|| self.budget(server, now) - 1.0);
         let server = self.servers.get_mut(&to).expect("picked from these");
         let lossy = server.lost > LOSSY && self.work.further >= 1.0;
--- a/crates/fernscale/src/state.rs
+++ b/crates/fernscale/src/state.rs
@@ -1,5 +1,7 @@
 //! What one gateway remembers: records without any decision. `policy.rs` fills and reads them.
 
+use std::collections::BTreeMap;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -7,6 +9,8 @@
 
 #[derive(Default)]
 pub struct Server {
+    /// Where it stands in the row of all servers, see [`phase`].
+    pub place: u64,
     pub zone: u32,
     pub cell: u32,
     /// Takes new trips, and is among those that this gateway uses.
@@ -40,9 +44,134 @@
 impl Server {
     /// One that nothing is known of, whether new or started anew; what is still out there stays so.
     pub fn anew(&self, started: Option<Micros>, cold: f64, now: Micros) -> Self {
-        let Server { out, cordoned, recalled, barred, kept, .. } = *self;
+        let Server { place, out, cordoned, recalled, barred, kept, .. } = *self;
         let fresh = Server { pace: 1.0, relative: 1.0, cold, cold_at: now, ..Server::default() };
-        Server { out, cordoned, recalled, barred, kept, started, ..fresh }
+        Server { place, out, cordoned, recalled, barred, kept, started, ..fresh }
+    }
+}
+
+/// All servers that are known. Lists name thousands of them and a gateway uses some tens: what is done for each request
+/// goes by [`Servers::dealt`] and by id, and only a new list is an occasion to look at all.
+#[derive(Default)]
+pub struct Servers {
+    /// Each has its slot as long as it is known.
+    slots: Vec<(Id, Server)>,
+    free: Vec<usize>,
+    by_id: BTreeMap<Id, usize>,
+    /// Slots of the servers that are dealt to this gateway, in the order of their ids.
+    dealt: Vec<usize>,
+    /// Sum of [`Server::lost`] of all.
+    lost: f64,
+}
+
+impl Servers {
+    pub fn get(&self, id: &Id) -> Option<&Server> {
+        self.by_id.get(id).map(|slot| &self.slots[*slot].1)
+    }
+
+    pub fn get_mut(&mut self, id: &Id) -> Option<&mut Server> {
+        self.by_id.get(id).map(|slot| &mut self.slots[*slot].1)
+    }
+
+    /// The server of this id; one that was not known is so from now on, with nothing learnt of it.
+    pub fn entry(&mut self, id: &Id) -> &mut Server {
+        let slot = match self.by_id.get(id) {
+            Some(slot) => *slot,
+            None => self.insert(id),
+        };
+        &mut self.slots[slot].1
+    }
+
+    fn insert(&mut self, id: &Id) -> usize {
+        let server = Server { place: phase(id, Micros::MAX), ..Server::default() };
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.slots[slot] = (id.clone(), server);
+                slot
+            }
+            None => {
+                self.slots.push((id.clone(), server));
+                self.slots.len() - 1
+            }
+        };
+        self.by_id.insert(id.clone(), slot);
+        slot
+    }
+
+    /// Forgets what was learnt of a server that is new, or was started anew.
+    pub fn renew(&mut self, id: &Id, started: Option<Micros>, cold: f64, now: Micros) {
+        let server = self.entry(id);
+        let lost = server.lost;
+        *server = server.anew(started, cold, now);
+        self.lost -= lost;
+    }
+
+    /// Forgets the servers that are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(&Server) -> bool) {
+        let Servers { slots, free, by_id, lost, .. } = self;
+        by_id.retain(|_, slot| {
+            let server = &mut slots[*slot].1;
+            if keep(server) {
+                return true;
+            }
+            *lost -= server.lost;
+            *server = Server::default();
+            free.push(*slot);
+            false
+        });
+    }
+
+    /// All of them, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&Id, &Server)> {
+        self.by_id.values().map(|slot| self.at(*slot))
+    }
+
+    /// All of them, in no order, and free slots with servers that are never ready.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.slots.iter_mut().map(|(_, server)| server)
+    }
+
+    /// Those dealt to this gateway, in the order of their ids.
+    pub fn dealt(&self) -> impl Iterator<Item = (&Id, &Server)> {
+        self.dealt.iter().map(|slot| self.at(*slot))
+    }
+
+    fn at(&self, slot: usize) -> (&Id, &Server) {
+        let (id, server) = &self.slots[slot];
+        (id, server)
+    }
+
+    /// Deals servers anew: `choose` is given all that fit, in the order of their places in the row, and sets
+    /// [`Server::mine`].
+    pub fn deal(&mut self, fits: impl Fn(&Server) -> bool, choose: impl FnOnce(&mut [(&Id, &mut Server)])) {
+        let Servers { slots, by_id, dealt, .. } = self;
+        let mut row: Vec<(&Id, &mut Server)> = Vec::with_capacity(by_id.len());
+        for (id, server) in slots.iter_mut() {
+            server.mine = false;
+            if fits(server) {
+                row.push((id, server));
+            }
+        }
+        row.sort_unstable_by(|(one, first), (other, second)| {
+            first.place.cmp(&second.place).then_with(|| one.cmp(other))
+        });
+        choose(&mut row);
+        dealt.clear();
+        dealt.extend(by_id.values().filter(|slot| slots[**slot].1.mine));
+    }
+
+    /// The mean share of trips that servers lose.
+    pub fn mean_lost(&self) -> f64 {
+        self.lost / self.by_id.len().max(1) as f64
+    }
+
+    /// Sets the share of its trips that a server loses.
+    pub fn loses(&mut self, id: &Id, share: f64) {
+        if let Some(server) = self.get_mut(id) {
+            let change = share - server.lost;
+            server.lost = share;
+            self.lost += change;
+        }
     }
 }
 
--- a/crates/gateway/src/fleet/list.rs
+++ b/crates/gateway/src/fleet/list.rs
@@ -174,13 +174,15 @@
         let endpoints = entries.iter().filter_map(|entry| serde_json::from_str::<Value>(&entry.text).ok());
         let body = json!({ "index": index, "snapshot": full, "endpoints": endpoints.collect::<Vec<_>>() });
         match catalog::members(&body, &self.shared.outside) {
-            Ok(members) => {
+            Ok(mut members) => {
+                self.shared.left.borrow_mut().read(&mut members);
                 info!(self.shared.log, #"discovery.list", "list"; "index" => index, "full" => full,
                     "servers" => members.servers.len(), "by" => "fleet");
                 drop(self.needs.events.send(Event::List(members)).await);
             }
             Err(Refused { why, leaving, .. }) => {
                 warn!(self.shared.log, #"discovery.failed", "discovery failed"; "why" => why);
+                self.shared.left.borrow_mut().leave(&leaving);
                 drop(self.needs.events.send(Event::Leaving(leaving)).await);
                 drop(self.needs.events.send(Event::ListFailed).await);
             }
--- a/crates/gateway/src/program/config.rs
+++ b/crates/gateway/src/program/config.rs
@@ -189,10 +189,9 @@
         return Err(format!("'limits.sockets={sockets}' is below {LEAST_SOCKETS}: nobody could be let in"));
     }
     let known = config.get("known").filter(|known| !known.is_null());
-    let mut fixed = config.clone();
-    for changes in ["discovery", "counter", "known", "seed"] {
-        fixed.as_object_mut().and_then(|fields| fields.remove(changes));
-    }
+    let changes = |name: &str| ["discovery", "counter", "known", "seed"].contains(&name);
+    let fields = config.as_object().into_iter().flatten().filter(|(name, _)| !changes(name));
+    let fixed = fields.map(|(name, value)| (name.clone(), value.clone())).collect();
     Ok(Config {
         fixed,
         name: text("name")?.into(),
--- a/crates/gateway/src/protocol/catalog.rs
+++ b/crates/gateway/src/protocol/catalog.rs
@@ -1,10 +1,12 @@
 //! The list of servers, as discovery words it.
 
-use std::collections::BTreeSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use fernscale::interface::{Id, Listed, State};
 use fernscale::settings::Outside;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 
 /// The whole list, or what changed in it.
@@ -38,32 +40,150 @@
     }
 }
 
+/// Reads an answer that has been parsed whole.
 pub fn members(from: &Value, outside: &Outside) -> Result<Members, Refused> {
-    read(from, outside).map_err(|why| {
-        let entries = from.get("endpoints").and_then(Value::as_array).into_iter().flatten();
-        let text = |entry: &Value, name: &str| entry.get(name).and_then(Value::as_str).map(String::from);
-        let leaves =
-            |entry: &&Value| matches!(text(entry, "status").as_deref(), Some("terminating" | "terminated"));
-        let leaving = entries.filter(leaves).filter_map(|entry| text(entry, "name"));
-        let leaving = leaving.map(|name| Id::from(name.as_str())).collect();
-        Refused { why, index: from.get("index").and_then(Value::as_u64), leaving }
-    })
+    let mut reading = Reading::default();
+    let entries = from.get("endpoints").and_then(Value::as_array);
+    match entries {
+        Some(entries) => entries.iter().for_each(|entry| reading.take(entry, outside)),
+        None => reading.refuse(NO_ENDPOINTS.into()),
+    }
+    let (index, full) = (from.get("index"), from.get("snapshot"));
+    reading.end(index.and_then(Value::as_u64), full.and_then(Value::as_bool))
+}
+
+const NO_ENDPOINTS: &str = "a list without 'endpoints'";
+
+/// The outline of an answer, its entries unread: a list has thousands of them, each read in its turn.
+#[derive(Default, Deserialize)]
+pub struct Outline<'a> {
+    #[serde(borrow)]
+    index: Option<&'a RawValue>,
+    #[serde(borrow)]
+    snapshot: Option<&'a RawValue>,
+    #[serde(borrow)]
+    endpoints: Option<Vec<&'a RawValue>>,
+}
+
+impl<'a> Outline<'a> {
+    /// Fails where the text is no JSON. One that is of another form has no entries.
+    pub fn of(body: &'a [u8]) -> Result<Self, String> {
+        match serde_json::from_slice(body) {
+            Err(error) if error.is_data() => Ok(Outline::default()),
+            other => other.map_err(|error| error.to_string()),
+        }
+    }
+
+    /// The texts of the entries, so many at a time at most.
+    pub fn slices(&self, most: usize) -> impl Iterator<Item = &[&'a RawValue]> {
+        self.endpoints.iter().flat_map(move |entries| entries.chunks(most))
+    }
+
+    fn index(&self) -> Option<u64> {
+        serde_json::from_str(self.index?.get()).ok()
+    }
+
+    fn snapshot(&self) -> Option<bool> {
+        serde_json::from_str(self.snapshot?.get()).ok()
+    }
+}
+
+/// A server as an entry told of it.
+type Entry = (Listed, SocketAddr);
+
+/// Entries of the last whole list by their texts: most of the next one are the same to the letter, and are not parsed again.
+#[derive(Default)]
+pub struct Known(HashMap<Box<str>, Entry>);
+
+/// An answer that is read entry by entry.
+#[derive(Default)]
+pub struct Reading {
+    servers: Vec<Entry>,
+    named: HashSet<Id>,
+    /// Why the whole is refused: the first entry that can't be read, or else that comes twice.
+    why: Option<String>,
+    twice: Option<String>,
+    leaving: Vec<Id>,
+    /// What will be known by its text.
+    texts: HashMap<Box<str>, Entry>,
 }
 
-fn read(from: &Value, outside: &Outside) -> Result<Members, String> {
-    let entries = from.get("endpoints").and_then(Value::as_array).ok_or("a list without 'endpoints'")?;
-    let servers: Vec<_> = entries.iter().map(|entry| server(entry, outside)).collect::<Result<_, _>>()?;
-    // Which of two words on one server holds can't be known.
-    let mut named = BTreeSet::new();
-    if let Some((twice, _)) = servers.iter().find(|(listed, _)| !named.insert(&listed.server)) {
-        return Err(format!("server '{}' comes twice", twice.server));
+impl Reading {
+    /// Reads an entry that has been parsed.
+    fn take(&mut self, entry: &Value, outside: &Outside) {
+        let text = |name: &str| entry.get(name).and_then(Value::as_str);
+        if matches!(text("status"), Some("terminating" | "terminated")) {
+            self.leaving.extend(text("name").map(Id::from));
+        }
+        match server(entry, outside) {
+            Ok(entry) => self.add(entry),
+            Err(why) => self.refuse(why),
+        }
+    }
+
+    /// Reads an entry by its text.
+    pub fn take_text(&mut self, text: &RawValue, known: &Known, outside: &Outside) {
+        if let Some(entry) = known.0.get(text.get()).cloned() {
+            if entry.0.state != State::Ready {
+                self.leaving.push(entry.0.server.clone());
+            }
+            self.texts.insert(text.get().into(), entry.clone());
+            return self.add(entry);
+        }
+        match serde_json::from_str::<Value>(text.get()) {
+            Ok(entry) => {
+                let before = self.servers.len();
+                self.take(&entry, outside);
+                if let Some(entry) = self.servers.get(before) {
+                    self.texts.insert(text.get().into(), entry.clone());
+                }
+            }
+            Err(error) => self.refuse(error.to_string()),
+        }
+    }
+
+    fn add(&mut self, entry: Entry) {
+        // Which of two words on one server holds can't be known.
+        if !self.named.insert(entry.0.server.clone()) {
+            self.twice.get_or_insert_with(|| format!("server '{}' comes twice", entry.0.server));
+        }
+        self.servers.push(entry);
+    }
+
+    fn refuse(&mut self, why: String) {
+        self.why.get_or_insert(why);
+    }
+
+    /// What was read. Of a whole list the texts are known from now on.
+    pub fn end_outline(mut self, outline: &Outline, known: &mut Known) -> Result<Members, Refused> {
+        if outline.endpoints.is_none() {
+            self.refuse(NO_ENDPOINTS.into());
+        }
+        let texts = std::mem::take(&mut self.texts);
+        let members = self.end(outline.index(), outline.snapshot());
+        if members.as_ref().is_ok_and(|members| members.full) {
+            known.0 = texts;
+        }
+        members
+    }
+
+    fn end(mut self, index: Option<u64>, full: Option<bool>) -> Result<Members, Refused> {
+        if let Some(why) = self.twice.take() {
+            self.refuse(why);
+        }
+        if index.is_none() {
+            self.refuse("a list without 'index'".into());
+        }
+        if full.is_none() {
+            self.refuse("a list without 'snapshot'".into());
+        }
+        match (self.why, index, full) {
+            (None, Some(index), Some(full)) => {
+                Ok(Members { index, full, moved: false, servers: self.servers })
+            }
+            (why, index, _) => Err(Refused { why: why.unwrap_or_default(), index, leaving: self.leaving }),
+        }
     }
-    Ok(Members {
-        index: from.get("index").and_then(Value::as_u64).ok_or("a list without 'index'")?,
-        full: from.get("snapshot").and_then(Value::as_bool).ok_or("a list without 'snapshot'")?,
-        moved: false,
-        servers,
-    })
 }
 
 fn server(entry: &Value, outside: &Outside) -> Result<(Listed, SocketAddr), String> {
--- a/crates/gateway/src/protocol/http.rs
+++ b/crates/gateway/src/protocol/http.rs
@@ -27,8 +27,104 @@
     ToEnd,
 }
 
+/// The head of a response, and where its body begins.
+struct Head {
+    status: u16,
+    keep: bool,
+    length: Length,
+    start: usize,
+}
+
+/// Reads one response as it comes. What has been understood is not looked at again with the next bytes: a long list may come
+/// in thousands of pieces.
+#[derive(Default)]
+pub struct Reader {
+    /// Where the response begins, behind interim ones.
+    from: usize,
+    head: Option<Head>,
+    /// Where the next chunk begins, and what those before it held.
+    chunk: usize,
+    body: Vec<u8>,
+}
+
 /// Reads a response; `ended` says that no more bytes will come.
 pub fn response(bytes: &[u8], ended: bool) -> Scanned<Response> {
+    Reader::default().read(bytes, ended)
+}
+
+impl Reader {
+    /// `bytes`: all that have come of the response so far; `ended`: no more will.
+    pub fn read(&mut self, bytes: &[u8], ended: bool) -> Scanned<Response> {
+        while self.head.is_none() {
+            let Some(head) = head(bytes, self.from)? else { return Ok(None) };
+            if head.status < 200 {
+                // Only an interim word: the response comes after it.
+                self.from = head.start;
+            } else {
+                self.chunk = head.start;
+                self.head = Some(head);
+            }
+        }
+        let Some(Head { status, keep, length, start }) = &self.head else { return Ok(None) };
+        let (status, keep, start) = (*status, *keep, *start);
+        let keep = keep && !matches!(length, Length::ToEnd);
+        let (body, end) = match length {
+            _ if matches!(status, 204 | 304) => (Vec::new(), start),
+            Length::Known(length) => match bytes.get(start..start + length) {
+                Some(body) => (body.to_vec(), start + length),
+                None => return Ok(None),
+            },
+            Length::Chunks => match self.chunks(bytes)? {
+                Some(end) => (std::mem::take(&mut self.body), end),
+                None => return Ok(None),
+            },
+            Length::ToEnd if ended => (bytes[start..].to_vec(), bytes.len()),
+            Length::ToEnd => return Ok(None),
+        };
+        Ok(Some((Response { status, body, keep }, end)))
+    }
+
+    /// Takes the chunks that have come whole; the end of the response, once it is there.
+    fn chunks(&mut self, bytes: &[u8]) -> Result<Option<usize>, &'static str> {
+        loop {
+            let Some(end) = line(bytes, self.chunk)? else { return Ok(None) };
+            let size = bytes[self.chunk..end].split(|byte| *byte == b';').next().unwrap_or_default();
+            let size = std::str::from_utf8(size).unwrap_or_default().trim();
+            if size.is_empty() || !size.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+                return Err("a chunk without a size");
+            }
+            let size =
+                usize::from_str_radix(size, 16).ok().filter(|size| size + self.body.len() <= MOST_BODY);
+            let size = size.ok_or("the body of a response is too long")?;
+            let at = end + 2;
+            if size == 0 {
+                return trailers(bytes, at);
+            }
+            match bytes.get(at + size..at + size + 2) {
+                None => return Ok(None),
+                Some(b"\r\n") => self.body.extend_from_slice(&bytes[at..at + size]),
+                Some(_) => return Err("a chunk does not end where it should"),
+            }
+            self.chunk = at + size + 2;
+        }
+    }
+}
+
+/// Where the trailers that begin here end, with an empty line.
+fn trailers(bytes: &[u8], mut at: usize) -> Result<Option<usize>, &'static str> {
+    loop {
+        let Some(end) = line(bytes, at)? else { return Ok(None) };
+        let empty = end == at;
+        at = end + 2;
+        if empty {
+            return Ok(Some(at));
+        }
+    }
+}
+
+/// Reads the head of the response that begins at `from`.
+fn head(bytes: &[u8], from: usize) -> Result<Option<Head>, &'static str> {
+    let bytes = bytes.get(from..).unwrap_or_default();
     let Some(end) = bytes.windows(4).take(MOST_HEAD).position(|four| four == b"\r\n\r\n") else {
         return if bytes.len() >= MOST_HEAD { Err("the head of a response is too long") } else { Ok(None) };
     };
@@ -71,58 +167,7 @@
             };
         }
     }
-    let start = end + 4;
-    if status < 200 {
-        // Only an interim word: the response comes after it.
-        return Ok(response(&bytes[start..], ended)?.map(|(response, end)| (response, start + end)));
-    }
-    let (body, end) = match length {
-        _ if matches!(status, 204 | 304) => (Vec::new(), start),
-        Length::Known(length) => match bytes.get(start..start + length) {
-            Some(body) => (body.to_vec(), start + length),
-            None => return Ok(None),
-        },
-        Length::Chunks => match chunks(bytes, start)? {
-            Some(body) => body,
-            None => return Ok(None),
-        },
-        Length::ToEnd if ended => (bytes[start..].to_vec(), bytes.len()),
-        Length::ToEnd => return Ok(None),
-    };
-    Ok(Some((Response { status, body, keep: keep && !matches!(length, Length::ToEnd) }, end)))
-}
-
-fn chunks(bytes: &[u8], mut at: usize) -> Scanned<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
-        let Some(end) = line(bytes, at)? else { return Ok(None) };
-        let size = bytes[at..end].split(|byte| *byte == b';').next().unwrap_or_default();
-        let size = std::str::from_utf8(size).unwrap_or_default().trim();
-        if size.is_empty() || !size.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return Err("a chunk without a size");
-        }
-        let size = usize::from_str_radix(size, 16).ok().filter(|size| size + body.len() <= MOST_BODY);
-        let size = size.ok_or("the body of a response is too long")?;
-        at = end + 2;
-        if size == 0 {
-            break;
-        }
-        match bytes.get(at + size..at + size + 2) {
-            None => return Ok(None),
-            Some(b"\r\n") => body.extend_from_slice(&bytes[at..at + size]),
-            Some(_) => return Err("a chunk does not end where it should"),
-        }
-        at += size + 2;
-    }
-    // Trailers, up to an empty line.
-    loop {
-        let Some(end) = line(bytes, at)? else { return Ok(None) };
-        let empty = end == at;
-        at = end + 2;
-        if empty {
-            return Ok(Some((body, at)));
-        }
-    }
+    Ok(Some(Head { status, keep, length, start: from + end + 4 }))
 }
 
 /// Where the line ends that begins here.
--- a/crates/gateway/src/routing/leavers.rs
+++ b/crates/gateway/src/routing/leavers.rs
@@ -1,6 +1,6 @@
 //! Which servers the list has said to leave, and which word on a server is the newest.
 
-use std::collections::BTreeMap;
+use std::collections::{HashMap, HashSet};
 
 use fernscale::interface::{Id, Listed, Micros, State};
 
@@ -18,8 +18,8 @@
     /// The version of the newest list.
     index: u64,
     /// Those in use, and when each started.
-    used: BTreeMap<Id, Option<Micros>>,
-    left: BTreeMap<Id, Left>,
+    used: HashMap<Id, Option<Micros>>,
+    left: HashMap<Id, Left>,
 }
 
 /// The word that a server leaves.
@@ -42,8 +42,8 @@
         }
         self.index = members.index;
         if members.full {
-            let listed = |id: &Id| members.servers.iter().any(|(listed, _)| listed.server == *id);
-            let gone: Vec<Id> = self.used.keys().filter(|id| !listed(id)).cloned().collect();
+            let listed: HashSet<&Id> = members.servers.iter().map(|(listed, _)| &listed.server).collect();
+            let gone: Vec<Id> = self.used.keys().filter(|id| !listed.contains(id)).cloned().collect();
             gone.into_iter().for_each(|id| self.leaves(&id, None));
         }
         for (listed, _) in &mut members.servers {
@@ -60,12 +60,28 @@
                 self.used.insert(listed.server.clone(), listed.started);
             }
         }
-        while self.left.len() > MOST_LEFT {
-            let oldest = self.left.iter().min_by_key(|(_, left)| left.index).map(|(id, _)| id.clone());
-            oldest.map(|id| self.left.remove(&id));
+        if self.left.len() > MOST_LEFT {
+            self.forget_oldest();
         }
     }
 
+    /// Goes by an answer that was refused, of which only this is taken: that these leave.
+    pub fn leave(&mut self, servers: &[Id]) {
+        for id in servers {
+            if self.used.contains_key(id) {
+                self.leaves(id, None);
+            }
+        }
+    }
+
+    /// Forgets an eighth of those that have left: to look for the oldest each time would cost more than all the list.
+    fn forget_oldest(&mut self) {
+        let mut words: Vec<u64> = self.left.values().map(|left| left.index).collect();
+        words.sort_unstable();
+        let newest_forgotten = words[words.len() - MOST_LEFT + MOST_LEFT / 8 - 1];
+        self.left.retain(|_, left| left.index > newest_forgotten);
+    }
+
     fn leaves(&mut self, id: &Id, started: Option<Micros>) {
         let before = self.left.get(id).and_then(|left| left.started);
         let started = started.max(self.used.remove(id).flatten()).max(before);
--- a/crates/gateway/src/routing/list.rs
+++ b/crates/gateway/src/routing/list.rs
@@ -12,9 +12,10 @@
 
 use super::turns::Turn;
 use super::{Event, Shared};
-use crate::protocol::catalog::{self, Members, Refused};
+use crate::protocol::catalog::{self, Known, Members, Outline, Reading, Refused};
 use crate::protocol::http;
 use crate::transport::buffer::Buffer;
+use crate::transport::clock::between_slices;
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::Ending;
 
@@ -39,6 +40,9 @@
 /// without end. The next call still comes soon enough to go on with the watch.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Entries of a list that are read in one turn: some tenths of a millisecond.
+const ENTRIES_A_SLICE: usize = 64;
+
 pub enum Order {
     Follow(bool),
     Fetch,
@@ -65,6 +69,7 @@
     first: bool,
     /// None has come from where discovery is now.
     moved: bool,
+    known: Known,
 }
 
 impl List {
@@ -86,6 +91,7 @@
             index,
             first: true,
             moved: false,
+            known: Known::default(),
         }
     }
 
@@ -112,6 +118,9 @@
                 Step::Order(Some(Order::ByFleet)) => (self.by_fleet, self.following) = (true, false),
                 Step::Order(Some(Order::Ask(since, to))) => {
                     let answer = self.ask(since, Duration::ZERO).await;
+                    let answer = answer.and_then(|body| {
+                        serde_json::from_slice::<Value>(&body).map_err(|error| error.to_string())
+                    });
                     if let Err(why) = &answer {
                         warn!(self.shared.log, #"discovery.failed", "discovery failed"; "why" => why);
                     }
@@ -174,6 +183,8 @@
             }
             Ok(mut members) => {
                 members.moved = std::mem::take(&mut self.moved);
+                // From this moment on nothing begins at a server that leaves, also while the module has not heard of it.
+                self.shared.left.borrow_mut().read(&mut members);
                 (self.index, self.first) = (Some(members.index), false);
                 Event::List(members)
             }
@@ -182,6 +193,7 @@
                 warn!(self.shared.log, #"discovery.failed", "discovery failed"; "why" => why);
                 // One that is behind says nothing new of anybody.
                 if !leaving.is_empty() && index >= self.index {
+                    self.shared.left.borrow_mut().leave(&leaving);
                     drop(self.events.send(Event::Leaving(leaving)).await);
                 }
                 Event::ListFailed
@@ -202,10 +214,7 @@
             other => other,
         };
         let body = body.map_err(|why| Refused { why, index: None, leaving: Vec::new() })?;
-        let timed = Turn::begin("reading a server list");
-        let members = catalog::members(&body, &self.shared.outside);
-        timed.end(&self.shared.log);
-        let members = members?;
+        let members = self.read(&body).await?;
         if members.full || !members.servers.is_empty() {
             let (index, full) = (members.index, members.full);
             info!(self.shared.log, #"discovery.list", "list"; "index" => index, "full" => full, "servers" => members.servers.len());
@@ -213,8 +222,25 @@
         Ok(members)
     }
 
-    /// Asks, and gives the answer as it is.
-    async fn ask(&mut self, since: Option<u64>, wait: Duration) -> Result<Value, String> {
+    /// Reads an answer slice by slice: lists of thousands of servers must not hold up what clients are owed.
+    async fn read(&mut self, body: &[u8]) -> Result<Members, Refused> {
+        let unread = |why| Refused { why, index: None, leaving: Vec::new() };
+        let timed = Turn::begin("outline of a server list");
+        let outline = Outline::of(body);
+        timed.end(&self.shared.log);
+        let outline = outline.map_err(unread)?;
+        let mut reading = Reading::default();
+        for (slice, texts) in outline.slices(ENTRIES_A_SLICE).enumerate() {
+            if slice > 0 {
+                between_slices().await;
+            }
+            texts.iter().for_each(|text| reading.take_text(text, &self.known, &self.shared.outside));
+        }
+        reading.end_outline(&outline, &mut self.known)
+    }
+
+    /// Asks, and gives the body of the answer.
+    async fn ask(&mut self, since: Option<u64>, wait: Duration) -> Result<Vec<u8>, String> {
         let path = catalog::path(since.map(|since| (since, wait.as_millis() as u64)));
         let request = http::get(&self.discovery.to_string(), &path);
         let turn = if self.shared.outside.agent { AGENT_GRACE } else { TURN };
@@ -229,10 +255,7 @@
         if response.status != 200 {
             return Err(format!("status {}", response.status));
         }
-        let timed = Turn::begin("parsing a server list");
-        let parsed = serde_json::from_slice(&response.body).map_err(|error| error.to_string());
-        timed.end(&self.shared.log);
-        parsed
+        Ok(response.body)
     }
 
     /// The answer to a call, or to one that an agent has been late with: nothing has been heard since.
@@ -277,8 +300,9 @@
 }
 
 async fn answer(connection: &mut Connection, until: Instant) -> Result<http::Response, Ending> {
-    match connection.message(|bytes| http::response(bytes, false), until, GRACE).await {
-        Err(Ending::Closed) => match http::response(connection.buffer.filled(), true) {
+    let mut reader = http::Reader::default();
+    match connection.message(|bytes| reader.read(bytes, false), until, GRACE).await {
+        Err(Ending::Closed) => match reader.read(connection.buffer.filled(), true) {
             Ok(Some((response, _))) => Ok(response),
             _ => Err(Ending::Closed),
         },
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -1,7 +1,7 @@
 //! The actor of the module: tells it what happened, one event after another, and does what it says.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -38,7 +38,8 @@
 }
 
 struct Peer {
-    orders: Sender<peer::Order>,
+    /// Its actor, once there was something for it to do.
+    orders: Option<Sender<peer::Order>>,
     address: SocketAddr,
     listed: Listed,
 }
@@ -101,7 +102,8 @@
         operators: Receiver<operator::Order>,
     ) {
         let mut mailbox = std::pin::pin!(mailbox);
-        if let Some(known) = known {
+        if let Some(mut known) = known {
+            self.shared.left.borrow_mut().read(&mut known);
             self.learn(known);
         }
         self.act().await;
@@ -309,39 +311,63 @@
         }
     }
 
-    fn learn(&mut self, mut members: Members) {
-        self.shared.left.borrow_mut().read(&mut members);
-        if members.full {
-            let listed = |id: &Id| members.servers.iter().any(|(server, _)| server.server == *id);
-            // Trips that are out know their server's mailbox, and are ended as any other.
-            self.peers.retain(|id, _| listed(id));
+    /// Goes by a list that has come. The decision module is told what is new in it, as most of a whole list is not.
+    fn learn(&mut self, members: Members) {
+        let mut changed = if members.full { self.drop_unlisted(&members) } else { Vec::new() };
+        for (listed, address) in members.servers {
+            if listed.state == State::Gone {
+                self.peers.remove(&listed.server);
+                changed.push(listed);
+            } else if self.note(&listed, address) {
+                changed.push(listed);
+            }
         }
-        for (server, address) in &members.servers {
-            if server.state == State::Gone {
-                self.peers.remove(&server.server);
-                continue;
+        self.gateway.list(false, &changed);
+    }
+
+    /// Drops the servers that a whole list does not have, and gives the word on each that it has gone.
+    fn drop_unlisted(&mut self, members: &Members) -> Vec<Listed> {
+        let listed: HashSet<&Id> = members.servers.iter().map(|(server, _)| &server.server).collect();
+        let mut gone = Vec::new();
+        // Trips that are out know their server's mailbox, and are ended as any other.
+        self.peers.retain(|id, peer| {
+            let stays = listed.contains(id);
+            if !stays {
+                gone.push(Listed { state: State::Gone, ..peer.listed.clone() });
             }
-            match self.peers.get_mut(&server.server) {
-                Some(peer) => {
-                    peer.listed = server.clone();
-                    if peer.address != *address {
-                        peer.address = *address;
-                        let order = peer::Order::Move(*address);
-                        self.desk
-                            .borrow_mut()
-                            .actions
-                            .push_back(Action::Server(server.server.clone(), order));
-                    }
-                }
-                None => {
-                    let orders = peer::start(&self.shared, &self.events, &server.server, *address);
-                    let peer = Peer { orders, address: *address, listed: server.clone() };
-                    self.peers.insert(server.server.clone(), peer);
-                }
+            stays
+        });
+        gone
+    }
+
+    /// Notes what the list says of a server that is there; whether that is new.
+    fn note(&mut self, listed: &Listed, address: SocketAddr) -> bool {
+        let Some(peer) = self.peers.get_mut(&listed.server) else {
+            let peer = Peer { orders: None, address, listed: listed.clone() };
+            self.peers.insert(listed.server.clone(), peer);
+            return true;
+        };
+        if peer.address != address {
+            peer.address = address;
+            if peer.orders.is_some() {
+                let order = Action::Server(listed.server.clone(), peer::Order::Move(address));
+                self.desk.borrow_mut().actions.push_back(order);
             }
         }
-        let servers: Vec<_> = members.servers.iter().map(|(server, _)| server.clone()).collect();
-        self.gateway.list(members.full, &servers);
+        let new = peer.listed != *listed;
+        if new {
+            peer.listed = listed.clone();
+        }
+        new
+    }
+
+    /// The mailbox of a server's actor, which starts with the first order to it: of thousands that are listed some tens are
+    /// used.
+    fn orders_to(&mut self, server: &Id) -> Option<Sender<peer::Order>> {
+        let (shared, events) = (&self.shared, &self.events);
+        let peer = self.peers.get_mut(server)?;
+        let orders = peer.orders.get_or_insert_with(|| peer::start(shared, events, server, peer.address));
+        Some(orders.clone())
     }
 
     /// By an answer that was refused otherwise: until a newer word these take nothing new, and all else is as it was.
@@ -420,8 +446,12 @@
                 self.alarms.insert((at, self.alarms_set), token);
             }
             Action::Server(server, order) => {
-                if let Some(peer) = self.peers.get(&server) {
-                    drop(peer.orders.send(order).await);
+                // Nothing is open at a server that was never used.
+                let used = self.peers.get(&server).is_some_and(|peer| peer.orders.is_some());
+                if used || matches!(order, peer::Order::Probe) {
+                    if let Some(orders) = self.orders_to(&server) {
+                        drop(orders.send(order).await);
+                    }
                 }
             }
             Action::Add(add) => self.add(add),
@@ -435,6 +465,7 @@
 
     async fn send(&mut self, transaction: Id, server: Id, limit: Micros) {
         let now = self.shared.clock.now();
+        let orders = self.orders_to(&server);
         let Some(held) = self.held.get_mut(&transaction) else {
             return warn!(self.shared.log, #"trip.not-open", "a trip of what is not open"; "id" => &*transaction);
         };
@@ -445,7 +476,6 @@
             self.gateway.bar(&server, true);
         }
         let trip = held.trips.len();
-        let orders = self.peers.get(&server).map(|peer| peer.orders.clone());
         held.trips.push(orders.clone());
         held.out += 1;
         let left = held.hard_stop.saturating_sub(now);
--- a/crates/gateway/src/transport/clock.rs
+++ b/crates/gateway/src/transport/clock.rs
@@ -157,6 +157,15 @@
     }
 }
 
+/// How long work that is done in slices pauses between two of them: it comes round by the reactor, with all that has
+/// happened on sockets meanwhile. A task that only yields is run again before anybody looks at those.
+const BETWEEN_SLICES: Duration = Duration::from_micros(100);
+
+/// Lets everything else have its turn.
+pub async fn between_slices() {
+    Timer::after(BETWEEN_SLICES).await;
+}
+
 pub fn micros(time: Duration) -> Micros {
     time.as_micros() as Micros
 }
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -116,7 +116,7 @@
     /// Reads until a whole message has come, and hands it on. One that has begun must end within `piece`.
     pub async fn message<T>(
         &mut self,
-        scan: impl Fn(&[u8]) -> Scanned<T>,
+        mut scan: impl FnMut(&[u8]) -> Scanned<T>,
         until: Instant,
         piece: Duration,
     ) -> Result<T, Ending> {
