--- a/crates/fernscale/tests/operations.rs
+++ b/crates/fernscale/tests/operations.rs
@@ -176,3 +176,38 @@
     (0..4).for_each(|at| bed.gateway.bar(&id(format!("s{at}")), at != 1));
     assert!(sent_to(&mut bed, "s1", 40) > 30);
 }
+
+#[test]
+fn changes_of_a_list_say_what_whole_lists_do() {
+    let ready = |at: usize| listed(&format!("s{at:02}"), at as u32 % 2, State::Ready, None);
+    let without = |out: std::ops::Range<usize>| (0..40).filter(move |at| !out.contains(at)).map(ready);
+    let gone = |at: usize| Listed { state: State::Gone, ..ready(at) };
+    // Three lists, each as a whole and as what is new in it.
+    let lists: [(Vec<Listed>, Vec<Listed>); 3] = [
+        (without(0..0).collect(), without(0..0).collect()),
+        (without(10..25).collect(), (10..25).map(gone).collect()),
+        (without(20..30).collect(), (20..30).map(gone).chain((10..20).map(ready)).collect()),
+    ];
+    let mut beds = [0, 1].map(|_| Bed::new(settings(Kind::Redoable, wide()), 4));
+    for (whole, changes) in lists {
+        beds[0].gateway.list(true, &whole);
+        beds[1].gateway.list(false, &changes);
+        // Those that the beds began with have gone with the first whole list.
+        beds[1].gateway.list(
+            false,
+            &(0..4).map(|at| listed(&format!("s{at}"), 0, State::Gone, None)).collect::<Vec<_>>(),
+        );
+        for _ in 0..200 {
+            let [one, other] = &mut beds;
+            let sent = [one, other].map(|bed| {
+                bed.ask("c", 900 * MS);
+                let sent = sends(&bed.did());
+                sent.iter().for_each(|(id, to)| bed.end(id, 0, to, Outcome::Ok, 20 * MS));
+                bed.pass(20 * MS);
+                sent
+            });
+            assert_eq!(sent[0], sent[1]);
+            assert_eq!(sent[0].len(), 1);
+        }
+    }
+}
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -24,9 +24,12 @@
 use crate::fleet::subsets::Change;
 use crate::protocol::call::{Answer, Call, Said};
 use crate::protocol::catalog::Members;
-use crate::transport::clock::Alarm;
+use crate::transport::clock::{between_slices, Alarm};
 use crate::transport::ending::Ending;
 
+/// Servers of which the module is told in one turn, where a list says something new of many.
+const NEWS_A_SLICE: usize = 256;
+
 /// A transaction from its arrival until it is answered and no trip is out.
 struct Held {
     call: Rc<Call>,
@@ -66,6 +69,8 @@
     alarms_set: u64,
     /// What is to be told to the module before anything else, as it follows from what it did.
     follows: VecDeque<Event>,
+    /// What lists have said and the module has not been told yet, in its order.
+    news: VecDeque<Listed>,
 }
 
 impl Module {
@@ -91,6 +96,7 @@
             alarms: BTreeMap::new(),
             alarms_set: 0,
             follows: VecDeque::new(),
+            news: VecDeque::new(),
         }
     }
 
@@ -106,9 +112,19 @@
             self.shared.left.borrow_mut().read(&mut known);
             self.learn(known);
         }
+        // Nobody waits for anything yet.
+        while !self.news.is_empty() {
+            self.tell_news();
+        }
         self.act().await;
         let mut alarm = Alarm::new();
         loop {
+            if !self.news.is_empty() {
+                between_slices().await;
+                self.look_at_clock();
+                self.tell_news();
+                self.act().await;
+            }
             let next = self.alarms.first_key_value().map(|((at, _), _)| self.shared.clock.instant(*at));
             if let Ok(order) = operators.try_recv() {
                 self.operate(order);
@@ -117,6 +133,7 @@
             }
             let turn = match mailbox.try_recv() {
                 Ok(event) => Turn::Event(event),
+                Err(_) if !self.news.is_empty() => Turn::Ring,
                 Err(_) => {
                     let ring = async {
                         alarm.ring(next).await;
@@ -322,7 +339,18 @@
                 changed.push(listed);
             }
         }
-        self.gateway.list(false, &changed);
+        // Who leaves comes first: to send there is in vain from now on.
+        let (ready, leaving): (Vec<_>, Vec<_>) =
+            changed.into_iter().partition(|listed| listed.state == State::Ready);
+        self.news.extend(leaving.into_iter().chain(ready));
+        self.tell_news();
+    }
+
+    /// Tells the module the next of what lists have said: so much that a turn stays short.
+    fn tell_news(&mut self) {
+        let count = self.news.len().min(NEWS_A_SLICE);
+        let news: Vec<Listed> = self.news.drain(..count).collect();
+        self.gateway.list(false, &news);
     }
 
     /// Drops the servers that a whole list does not have, and gives the word on each that it has gone.
