A new configuration's known servers are read in slices as well

Change: the list is set apart as text and read by the reader of lists, in slices while the gateway runs; the reader and its slices are one type now (catalog::SlicedReader), used by discovery's lists too.

--- a/crates/cli/tests/sockets/large_fleet.rs
+++ b/crates/cli/tests/sockets/large_fleet.rs
@@ -297,6 +297,30 @@
     );
 }
 
+#[test]
+fn a_new_configuration_that_knows_thousands_of_servers_holds_up_nothing_else() {
+    const TIMES: usize = 5;
+    let all = ManyServers::start(usize::MAX);
+    let list = all.list(1, LARGEST, 0..0);
+    let gateway = gateway(&Agent::start(1, list.clone()));
+    let config = std::fs::read_to_string(&gateway.file).expect("its configuration");
+    std::fs::write(&gateway.file, config.replace(NO_SERVERS, &list)).expect("written");
+    let (mut client, mut longest) = (gateway.client(), Duration::ZERO);
+    for _ in 0..TIMES {
+        gateway.signal("-HUP");
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(300) {
+            let used = processor_time(&gateway);
+            assert_eq!(client.ask(&ping()), "+PONG");
+            longest = longest.max(processor_time(&gateway) - used);
+        }
+    }
+    assert!(
+        longest < Duration::from_millis(50),
+        "a PING waited for {longest:?} of the gateway's processor time"
+    );
+}
+
 /// Processor time of the gateway for so many requests.
 fn cost_of_requests(servers: usize) -> Duration {
     const REQUESTS: usize = 400;
--- a/crates/gateway/src/program/config.rs
+++ b/crates/gateway/src/program/config.rs
@@ -1,19 +1,20 @@
 //! The configuration: an installation's own file, the platform's JSON, or both, the latter over the former.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 
 use fernscale::interface::Settings;
 use fernscale::settings::{self, Fields, Outside};
+use serde_json::value::RawValue;
 use serde_json::Value;
 
 use super::file::{self, Own, LEAST_SOCKETS};
 use super::log::Logging;
 use crate::fleet::{durable, mesh, owners, signals, subsets, trial};
-use crate::protocol::catalog::{self, Members};
-use crate::transport::clock::Wrong;
+use crate::protocol::catalog::{self, Known, Members, SlicedReader};
+use crate::transport::clock::{between_slices, Wrong};
 
 /// Names the platform's file.
 const FILE: &str = "BALANCER_CONFIG";
@@ -77,6 +78,39 @@
 
     /// Reads all anew; else every problem that can be told, each a line that begins with the file.
     pub fn read(&self) -> Result<Config, Vec<String>> {
+        let (config, known) = self.read_but_known()?;
+        let Some(known) = known else { return Ok(config) };
+        let reader = SlicedReader::of(known.get().as_bytes());
+        let mut reader = reader.map_err(|why| self.wrong(&why))?;
+        while reader.read_slice(&Known::default(), &config.outside) {}
+        self.with_known(config, reader)
+    }
+
+    /// The same while a gateway runs: it knows thousands of servers, and clients wait meanwhile.
+    pub async fn read_in_slices(&self) -> Result<Config, Vec<String>> {
+        let (config, known) = self.read_but_known()?;
+        let Some(known) = known else { return Ok(config) };
+        let reader = SlicedReader::of(known.get().as_bytes());
+        let mut reader = reader.map_err(|why| self.wrong(&why))?;
+        while reader.read_slice(&Known::default(), &config.outside) {
+            between_slices().await;
+        }
+        self.with_known(config, reader)
+    }
+
+    fn with_known(&self, config: Config, reader: SlicedReader) -> Result<Config, Vec<String>> {
+        let known = reader.end(&mut Known::default()).map_err(|no| self.wrong(&no.why))?;
+        Ok(Config { known: Some(known), ..config })
+    }
+
+    /// A problem of what both files say together.
+    fn wrong(&self, why: &dyn std::fmt::Display) -> Vec<String> {
+        let named = self.platform.as_deref().or(self.own.as_deref());
+        vec![at(named.unwrap_or(Path::new("configuration")), why)]
+    }
+
+    /// All but the platform's list of known servers, and that as it stands.
+    fn read_but_known(&self) -> Result<(Config, Option<Box<RawValue>>), Vec<String>> {
         let mut under = Own::default();
         if let Some(path) = &self.own {
             under = file::read(&content(path)?, self.platform.is_none())
@@ -86,15 +120,37 @@
             }
         }
         let mut config = std::mem::take(&mut under.config);
-        let mut named = self.own.as_deref();
+        let mut known = None;
         if let Some(path) = &self.platform {
-            let over = serde_json::from_str(&content(path)?).map_err(|error| vec![at(path, &error)])?;
+            let (over, servers) = platform(&content(path)?).map_err(|error| vec![at(path, &error)])?;
             config = file::overlay(config, over);
-            named = Some(path);
+            known = servers;
+        }
+        if let Some(fields) = config.as_object_mut().filter(|_| known.is_some()) {
+            fields.remove("known");
         }
         let read = from_value(&config, Own { config: Value::Null, ..under });
-        read.map_err(|why| vec![at(named.unwrap_or(Path::new("configuration")), &why)])
+        Ok((read.map_err(|why| self.wrong(&why))?, known))
+    }
+}
+
+/// The platform's file, and apart from it the list of known servers, if it has one.
+fn platform(text: &str) -> Result<(Value, Option<Box<RawValue>>), serde_json::Error> {
+    let fields: BTreeMap<String, &RawValue> = match serde_json::from_str(text) {
+        // What is no object is refused for what it lacks.
+        Err(error) if error.is_data() => return Ok((serde_json::from_str(text)?, None)),
+        other => other?,
+    };
+    let mut known = None;
+    let mut config = serde_json::Map::new();
+    for (name, value) in fields {
+        if name == "known" && value.get() != "null" {
+            known = Some(value.to_owned());
+        } else {
+            config.insert(name, serde_json::from_str(value.get())?);
+        }
     }
+    Ok((Value::Object(config), known))
 }
 
 fn content(path: &Path) -> Result<String, Vec<String>> {
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -194,7 +194,7 @@
     let mut others = Others { discovery: config.discovery, counter: config.counter, fixed: config.fixed };
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => match source.read() {
+            Ok(Signal::Hup) => match source.read_in_slices().await {
                 Ok(config) => others.turn_to(config, &shared, &events, &list).await,
                 Err(why) => {
                     let why = why.join("; ");
--- a/crates/gateway/src/protocol/catalog.rs
+++ b/crates/gateway/src/protocol/catalog.rs
@@ -54,9 +54,9 @@
 
 const NO_ENDPOINTS: &str = "a list without 'endpoints'";
 
-/// The outline of an answer, its entries unread: a list has thousands of them, each read in its turn.
+/// The outline of an answer, its entries unread.
 #[derive(Default, Deserialize)]
-pub struct Outline<'a> {
+struct Outline<'a> {
     #[serde(borrow)]
     index: Option<&'a RawValue>,
     #[serde(borrow)]
@@ -65,29 +65,6 @@
     endpoints: Option<Vec<&'a RawValue>>,
 }
 
-impl<'a> Outline<'a> {
-    /// Fails where the text is no JSON. One that is of another form has no entries.
-    pub fn of(body: &'a [u8]) -> Result<Self, String> {
-        match serde_json::from_slice(body) {
-            Err(error) if error.is_data() => Ok(Outline::default()),
-            other => other.map_err(|error| error.to_string()),
-        }
-    }
-
-    /// The texts of the entries, so many at a time at most.
-    pub fn slices(&self, most: usize) -> impl Iterator<Item = &[&'a RawValue]> {
-        self.endpoints.iter().flat_map(move |entries| entries.chunks(most))
-    }
-
-    fn index(&self) -> Option<u64> {
-        serde_json::from_str(self.index?.get()).ok()
-    }
-
-    fn snapshot(&self) -> Option<bool> {
-        serde_json::from_str(self.snapshot?.get()).ok()
-    }
-}
-
 /// A server as an entry told of it.
 type Entry = (Listed, SocketAddr);
 
@@ -95,9 +72,9 @@
 #[derive(Default)]
 pub struct Known(HashMap<Box<str>, Entry>);
 
-/// An answer that is read entry by entry.
+/// What has been read of an answer.
 #[derive(Default)]
-pub struct Reading {
+struct Reading {
     servers: Vec<Entry>,
     named: HashSet<Id>,
     /// Why the whole is refused: the first entry that can't be read, or else that comes twice.
@@ -122,7 +99,7 @@
     }
 
     /// Reads an entry by its text.
-    pub fn take_text(&mut self, text: &RawValue, known: &Known, outside: &Outside) {
+    fn take_text(&mut self, text: &RawValue, known: &Known, outside: &Outside) {
         if let Some(entry) = known.0.get(text.get()).cloned() {
             if entry.0.state != State::Ready {
                 self.leaving.push(entry.0.server.clone());
@@ -154,19 +131,6 @@
         self.why.get_or_insert(why);
     }
 
-    /// What was read. Of a whole list the texts are known from now on.
-    pub fn end_outline(mut self, outline: &Outline, known: &mut Known) -> Result<Members, Refused> {
-        if outline.endpoints.is_none() {
-            self.refuse(NO_ENDPOINTS.into());
-        }
-        let texts = std::mem::take(&mut self.texts);
-        let members = self.end(outline.index(), outline.snapshot());
-        if members.as_ref().is_ok_and(|members| members.full) {
-            known.0 = texts;
-        }
-        members
-    }
-
     fn end(mut self, index: Option<u64>, full: Option<bool>) -> Result<Members, Refused> {
         if let Some(why) = self.twice.take() {
             self.refuse(why);
@@ -186,6 +150,53 @@
     }
 }
 
+/// Entries of a list that are read in one turn: some tenths of a millisecond.
+const ENTRIES_A_SLICE: usize = 64;
+
+/// Reads an answer slice by slice: to read thousands of entries in one turn would hold up all else.
+pub struct SlicedReader<'a> {
+    outline: Outline<'a>,
+    /// The first entry that has not been read.
+    next: usize,
+    reading: Reading,
+}
+
+impl<'a> SlicedReader<'a> {
+    /// Fails where the text is no JSON. One that is of another form has no entries.
+    pub fn of(body: &'a [u8]) -> Result<Self, String> {
+        let outline = match serde_json::from_slice(body) {
+            Err(error) if error.is_data() => Outline::default(),
+            other => other.map_err(|error| error.to_string())?,
+        };
+        Ok(SlicedReader { outline, next: 0, reading: Reading::default() })
+    }
+
+    /// Reads the next entries; whether there are more behind them.
+    pub fn read_slice(&mut self, known: &Known, outside: &Outside) -> bool {
+        let entries = self.outline.endpoints.as_deref().unwrap_or_default();
+        let rest = entries.get(self.next..).unwrap_or_default();
+        let slice = &rest[..rest.len().min(ENTRIES_A_SLICE)];
+        slice.iter().for_each(|text| self.reading.take_text(text, known, outside));
+        self.next += slice.len();
+        self.next < entries.len()
+    }
+
+    /// What was read. Of a whole list the texts are known from now on.
+    pub fn end(mut self, known: &mut Known) -> Result<Members, Refused> {
+        if self.outline.endpoints.is_none() {
+            self.reading.refuse(NO_ENDPOINTS.into());
+        }
+        let texts = std::mem::take(&mut self.reading.texts);
+        let index = self.outline.index.and_then(|index| serde_json::from_str(index.get()).ok());
+        let full = self.outline.snapshot.and_then(|full| serde_json::from_str(full.get()).ok());
+        let members = self.reading.end(index, full);
+        if members.as_ref().is_ok_and(|members| members.full) {
+            known.0 = texts;
+        }
+        members
+    }
+}
+
 fn server(entry: &Value, outside: &Outside) -> Result<(Listed, SocketAddr), String> {
     let text = |name: &str| entry.get(name).and_then(Value::as_str);
     let server = text("name").filter(|name| !name.is_empty()).ok_or("a server without 'name'")?;
--- a/crates/gateway/src/routing/list.rs
+++ b/crates/gateway/src/routing/list.rs
@@ -12,7 +12,7 @@
 
 use super::turns::Turn;
 use super::{Event, Shared};
-use crate::protocol::catalog::{self, Known, Members, Outline, Reading, Refused};
+use crate::protocol::catalog::{self, Known, Members, Refused, SlicedReader};
 use crate::protocol::http;
 use crate::transport::buffer::Buffer;
 use crate::transport::clock::between_slices;
@@ -40,9 +40,6 @@
 /// without end. The next call still comes soon enough to go on with the watch.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Entries of a list that are read in one turn: some tenths of a millisecond.
-const ENTRIES_A_SLICE: usize = 64;
-
 pub enum Order {
     Follow(bool),
     Fetch,
@@ -226,17 +223,13 @@
     async fn read(&mut self, body: &[u8]) -> Result<Members, Refused> {
         let unread = |why| Refused { why, index: None, leaving: Vec::new() };
         let timed = Turn::begin("outline of a server list");
-        let outline = Outline::of(body);
+        let reader = SlicedReader::of(body);
         timed.end(&self.shared.log);
-        let outline = outline.map_err(unread)?;
-        let mut reading = Reading::default();
-        for (slice, texts) in outline.slices(ENTRIES_A_SLICE).enumerate() {
-            if slice > 0 {
-                between_slices().await;
-            }
-            texts.iter().for_each(|text| reading.take_text(text, &self.known, &self.shared.outside));
+        let mut reader = reader.map_err(unread)?;
+        while reader.read_slice(&self.known, &self.shared.outside) {
+            between_slices().await;
         }
-        reading.end_outline(&outline, &mut self.known)
+        reader.end(&mut self.known)
     }
 
     /// Asks, and gives the body of the answer.
--- a/crates/gateway/tests/lists.rs
+++ b/crates/gateway/tests/lists.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fernscale::settings::Outside;
-use fernscale_gateway::protocol::catalog::{members, Known, Outline, Reading, Refused};
+use fernscale_gateway::protocol::catalog::{members, Known, Refused, SlicedReader};
 use fernscale_gateway::protocol::http;
 use fernscale_gateway::routing::leavers::Leavers;
 
@@ -18,12 +18,9 @@
 
 fn read_in_slices(body: &str, known: &mut Known) -> Result<String, Refused> {
     let refused = |why| Refused { why, index: None, leaving: Vec::new() };
-    let outline = Outline::of(body.as_bytes()).map_err(refused)?;
-    let mut reading = Reading::default();
-    for slice in outline.slices(2) {
-        slice.iter().for_each(|text| reading.take_text(text, known, &outside()));
-    }
-    reading.end_outline(&outline, known).map(|members| format!("{members:?}"))
+    let mut reader = SlicedReader::of(body.as_bytes()).map_err(refused)?;
+    while reader.read_slice(known, &outside()) {}
+    reader.end(known).map(|members| format!("{members:?}"))
 }
 
 fn read_at_once(body: &str) -> Result<String, Refused> {
@@ -38,8 +35,12 @@
         |entries: &[&str]| format!(r#"{{"index":4,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","));
     let indented =
         format!("{{\n  \"index\": 4,\n  \"snapshot\": false,\n  \"endpoints\": [\n    {GOOD}\n  ]\n}}\n");
+    let many: Vec<String> = (0..200).map(|at| GOOD.replace("\"a\"", &format!("\"m{at}\""))).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
     let bodies = [
         list(&[]),
+        list(&many),
+        list(&[&many[..], &[DRAINS, GOOD, GONE, GOOD]].concat()),
         list(&[GOOD, DRAINS, GONE]),
         indented,
         list(&[GOOD, DRAINS, GOOD]),
