Calls that a signal interrupts are made again; what can't be accepted keeps nobody else waiting

Change: transport/calls.rs repeats interrupted calls, used by all of Connection, which writes through one function of its own; after a connection that could not be accepted, the next is taken at once, and after 20 ms where the machine lacks descriptors or memory. The decision module no longer walks its servers for a list of changes. Ruled out: dials that are interrupted; they end as never sent, and are tried elsewhere.

--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -269,7 +269,9 @@
         if !full && entries.is_empty() {
             return;
         }
-        self.servers.values_mut().for_each(|server| server.ready &= !full);
+        if full {
+            self.servers.values_mut().for_each(|server| server.ready = false);
+        }
         for entry in entries {
             let server = self.servers.entry(&entry.server);
             if server.cap == 0.0 || server.started != entry.started {
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -17,6 +17,7 @@
 use crate::protocol::call::{self, Answer, Request};
 use crate::protocol::resp;
 use crate::transport::buffer::Buffer;
+use crate::transport::calls::NotAccepted;
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::Ending;
 use crate::transport::limits::Place;
@@ -27,8 +28,7 @@
 const UNREAD: Duration = Duration::from_secs(10);
 /// How long a client may take to read the error that ends its connection.
 const LINGER: Duration = Duration::from_secs(1);
-/// Pause while there is no place for another connection, and after one that could not be accepted: the machine is
-/// then out of descriptors, and a line in the log for each try would not help it.
+/// Pause while there is no place for another connection.
 const FULL: Duration = Duration::from_millis(5);
 /// Part of the clients' places, as its divisor, that those may have who asked once and fell idle, once two thirds of
 /// all places are taken. Danger: clients that come for one request and keep their connection. Whoever brings them in has so
@@ -38,7 +38,6 @@
 /// How long a client's first command may be on its way once it has connected: whoever is pushed out before that comes
 /// back, and pushes out another.
 const FIRST: Duration = Duration::from_millis(250);
-const FAILED: Duration = Duration::from_millis(100);
 /// After SIGTERM new connections keep coming for some tenths of a second; all that come until then are heard.
 pub const STILL_COMING: Duration = Duration::from_millis(700);
 
@@ -141,9 +140,8 @@
             match stream {
                 Ok(stream) => self.let_in(stream).await,
                 Err(error) => {
-                    // Out of descriptors, or a client that left at once: others wait meanwhile.
                     warn!(self.shared.log, #"client.not-accepted", "a client could not be accepted"; "why" => error.to_string());
-                    Timer::after(FAILED).await;
+                    Timer::after(NotAccepted::of(&error).pause()).await;
                 }
             }
         }
--- a/crates/gateway/src/routing/operator.rs
+++ b/crates/gateway/src/routing/operator.rs
@@ -16,14 +16,13 @@
 use super::Shared;
 use crate::protocol::operator::{self, Call, Refused};
 use crate::transport::buffer::Buffer;
+use crate::transport::calls::NotAccepted;
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::Ending;
 use crate::transport::limits::OPERATORS;
 
 /// How long a caller may take to its call's end, and to read the answer: longer than any that means well.
 const WHOLE: Duration = Duration::from_secs(5);
-/// Pause after a caller that could not be accepted.
-const FAILED: Duration = Duration::from_millis(100);
 /// How long a caller that is done may take to close: closed here with something unread, it would lose its answer.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -70,7 +69,7 @@
                 Ok(stream) => self.let_in(stream),
                 Err(error) => {
                     warn!(self.shared.log, #"operator.not-accepted", "an operator's call could not be accepted"; "why" => error.to_string());
-                    Timer::after(FAILED).await;
+                    Timer::after(NotAccepted::of(&error).pause()).await;
                 }
             }
         }
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -1,16 +1,17 @@
 //! One connection: dialled or accepted, read into its buffer, written to.
 
 use std::future::Future;
-use std::io::{ErrorKind, Read};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use futures_lite::{future, ready, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, ready};
 use rustix::event::{self, PollFd, PollFlags, Timespec};
 
 use super::buffer::Buffer;
+use super::calls::uninterrupted;
 use super::ending::Ending;
 use super::limits::Place;
 use crate::protocol::Scanned;
@@ -68,8 +69,7 @@
     pub async fn write_while_there(&mut self, bytes: &[u8]) -> Result<(), Ending> {
         self.used = Instant::now();
         let Connection { stream, buffer, .. } = self;
-        let mut writes = &*stream;
-        let write = async { writes.write_all(bytes).await.map_err(|_| Ending::Broken) };
+        let write = async { write_all(stream, bytes).await.map_err(|_| Ending::Broken) };
         future::or(write, async { Err(ended(stream, buffer).await) }).await
     }
 
@@ -83,7 +83,7 @@
             return Ok(piece);
         }
         let mut piece = vec![0; most];
-        match (&self.stream).read(&mut piece).await {
+        match self.stream.read_with(|mut stream| uninterrupted(|| stream.read(&mut piece))).await {
             Ok(0) => Err(Ending::Closed),
             Ok(count) => {
                 piece.truncate(count);
@@ -96,7 +96,7 @@
     /// Writes all; the last byte is written only if this succeeds.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), Ending> {
         self.used = Instant::now();
-        self.stream.write_all(bytes).await.map_err(|_| Ending::Broken)
+        write_all(&self.stream, bytes).await.map_err(|_| Ending::Broken)
     }
 
     pub fn goes_to(&self, address: SocketAddr) -> bool {
@@ -134,7 +134,8 @@
 
     /// Nothing has come that is not in the buffer; false, too, once the other side has closed it.
     pub fn still(&self) -> bool {
-        matches!(self.stream.get_ref().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+        let looked = uninterrupted(|| self.stream.get_ref().peek(&mut [0]));
+        matches!(looked, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Whether it is open with nothing left to read: an idle one may have ended, and a write would be lost.
@@ -143,6 +144,17 @@
     }
 }
 
+/// Writes all, however little of it the system takes at a time.
+async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write_with(|mut stream| uninterrupted(|| stream.write(bytes))).await? {
+            0 => return Err(ErrorKind::WriteZero.into()),
+            count => bytes = &bytes[count..],
+        }
+    }
+    Ok(())
+}
+
 async fn read(stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<(), Ending> {
     let room = buffer.room()?;
     // To try a read first would be in vain nearly always, and again with each wake of a task that waits for
@@ -151,8 +163,8 @@
         if let Err(error) = ready!(stream.poll_readable(context)) {
             return Poll::Ready(Err(error));
         }
-        match (&mut stream.get_ref()).read(room) {
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+        match uninterrupted(|| (&mut stream.get_ref()).read(room)) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             result => return Poll::Ready(result),
         }
     });
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets and what they need: connections, their buffers, how they end, how many there may be.
 
 pub mod buffer;
+pub mod calls;
 pub mod clock;
 pub mod connection;
 pub mod ending;
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,32 @@
+//! What the errors of calls to the system mean.
+
+use std::io::{Error, ErrorKind};
+
+use fernscale_gateway::transport::calls::{uninterrupted, NotAccepted};
+
+#[test]
+fn a_call_that_signals_interrupt_is_made_again_and_any_other_error_is_told() {
+    for (errors, last) in
+        [(0, Ok(7)), (3, Ok(7)), (1, Err(ErrorKind::WouldBlock)), (2, Err(ErrorKind::TimedOut))]
+    {
+        let mut made = 0;
+        let end = uninterrupted(|| {
+            made += 1;
+            if made <= errors {
+                return Err(Error::from(ErrorKind::Interrupted));
+            }
+            last.map_err(Error::from)
+        });
+        assert_eq!((made, end.map_err(|error| error.kind())), (errors + 1, last));
+    }
+}
+
+#[test]
+fn only_what_the_machine_lacks_keeps_others_from_being_accepted() {
+    let of = |number| NotAccepted::of(&Error::from_raw_os_error(number));
+    // EMFILE, ENFILE, ENOBUFS, ENOMEM.
+    assert!([24, 23, 105, 12].into_iter().all(|number| of(number) == NotAccepted::NoResources));
+    // ECONNABORTED, EINTR, EPROTO, ENETDOWN, EHOSTUNREACH, ETIMEDOUT.
+    assert!([103, 4, 71, 100, 113, 110].into_iter().all(|number| of(number) == NotAccepted::ThisOne));
+    assert!(NotAccepted::ThisOne.pause() < NotAccepted::NoResources.pause());
+}
