A call that signals interrupt on and on gives the event loop back

Change: after sixteen in a row the call counts as not ready, and comes round by the reactor. Seen by reading; the new test fails without the bound (it asserts that the calls end).

--- a/crates/gateway/src/transport/calls.rs
+++ b/crates/gateway/src/transport/calls.rs
@@ -8,14 +8,19 @@
 /// Descriptors and memory come back when something ends, and clients have their deadlines meanwhile.
 const WITHOUT_RESOURCES: Duration = Duration::from_millis(20);
 
-/// Makes a call again for as long as a signal interrupts it: nothing was read, written or accepted by it.
+/// How often a call is made again at once. Danger: signals without end would hold the event loop.
+const MOST_INTERRUPTED: usize = 16;
+
+/// Makes a call again that a signal interrupts: nothing was read, written or accepted by it. One that is interrupted on and on is
+/// as one that is not ready, and comes round by the reactor.
 pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    loop {
+    for _ in 0..MOST_INTERRUPTED {
         match call() {
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             other => return other,
         }
     }
+    Err(ErrorKind::WouldBlock.into())
 }
 
 /// Why a connection could not be accepted.
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -21,6 +21,17 @@
     }
 }
 
+#[test]
+fn a_call_that_is_interrupted_on_and_on_is_one_that_is_not_ready() {
+    let mut made = 0;
+    let end: Result<(), Error> = uninterrupted(|| {
+        made += 1;
+        assert!(made < 1_000, "it never gives the loop back");
+        Err(Error::from(ErrorKind::Interrupted))
+    });
+    assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::WouldBlock));
+}
+
 #[test]
 fn only_what_the_machine_lacks_keeps_others_from_being_accepted() {
     let of = |number| NotAccepted::of(&Error::from_raw_os_error(number));
