Commands behind a full depth are taken when all before them are answered in one go

Cause, in client.rs: commands are taken up to a depth of 32, then answers are written; if that write empties the depth, the loop waited for more bytes though whole commands stood in the buffer, and after 2.6 s they passed for half of one. A pipelining client lost what stood there. Change: after a write that made room the buffer is looked at again. Ruled out: the repair of lists, which does not touch clients.

--- a/crates/cli/tests/sockets/end_to_end.rs
+++ b/crates/cli/tests/sockets/end_to_end.rs
@@ -44,6 +44,19 @@
     }
 }
 
+/// Danger: all that may be under way at once is answered in one go, and nothing more comes that would have the rest looked at.
+#[test]
+fn commands_behind_all_that_may_be_under_way_are_answered_when_those_before_are_at_once() {
+    let server = Server::start(Does::Late(200));
+    let gateway = Gateway::start(&[&server]);
+    let (mut client, began) = (gateway.client(), Instant::now());
+    // The pings are ready at once, and wait for the request before them.
+    client.write(&[call("first", "read", 1_200), ping().repeat(31 + 40)].concat());
+    assert_eq!(client.read(), "first");
+    (0..31 + 40).for_each(|_| assert_eq!(client.read(), "+PONG"));
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
+
 #[test]
 fn bad_syntax_gets_one_error_and_a_close_and_nothing_else_does() {
     let server = Server::start(Does::Serve);
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -278,12 +278,14 @@
             if let Err(how) = self.commands().await {
                 return how;
             }
-            let had = self.connection.buffer.filled().len();
+            let (had, full) = (self.connection.buffer.filled().len(), self.waiting.len() >= DEPTH);
             if let Err(how) = self.write().await {
                 return how;
             }
-            if self.connection.buffer.filled().len() > had {
-                // More was read while its end was looked for, and may be a whole command: nothing more may ever come.
+            // More was read while its end was looked for, or there is room again for what had come already. Danger: that may be a
+            // whole command, and nothing more may ever come.
+            let room = full && self.waiting.len() < DEPTH;
+            if room || self.connection.buffer.filled().len() > had {
                 continue;
             }
             if self.waiting.is_empty() {
