Counts are told again: when quiet for a second, and when a suspicion is refuted

Cause: the last change of a part is told twice within 100 ms. Whoever is cut off then, and too shortly to be taken for gone, gets it only by the next comparison, 5 to 15 s away with a member drawn at random.

Change: the node remembers what changed in the last 15 s (recent.rs, its own module). A part that has been quiet for a second is told once more to those who share the count; at a refuted suspicion both sides tell again what changed since a little before it stood, the parts of gone members included.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod carry;
 pub mod node;
 pub mod packet;
+mod recent;
 pub mod seal;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::carry::{Came, Carried, Kind, Refused, MOST_ON_DATAGRAM};
 use crate::packet::{Full, News, Packet, Peer, State, Sum, Told, Word, MOST_BYTES, MOST_FULL};
+use crate::recent::{PartKey, RecentChanges};
 
 /// Each period one member is probed. A gateway that is gone is known so to its prober within two of these, and to all
 /// after the suspicion's time: half the time in which a front notices it, at the least.
@@ -48,6 +49,8 @@
 /// And the part of somebody who can't tell it any more, by each who knows it to all who share the count: he may be the only one,
 /// and a telling may be lost.
 const LEFT_BEHIND: u32 = 3;
+/// How often a part that has been quiet for a while is told again.
+const REPEATED: u32 = 1;
 /// Members to whom a gateway that ends tells all that it knows, over streams: what it added last may be on datagrams that
 /// are lost, and nobody could tell it again.
 const HEIRS: usize = 2;
@@ -186,8 +189,10 @@
     /// Members of whom there is news, and how often it is still to be told.
     news: BTreeMap<Instance, u32>,
     counts: Vectors,
-    dirty: BTreeMap<(Arc<str>, Instance), Dirty>,
+    dirty: BTreeMap<PartKey, Dirty>,
     orders: u64,
+    /// Changes whose tellings may have been lost.
+    recent: RecentChanges,
     next_period: Micros,
     next_spread: Micros,
     next_reach: Micros,
@@ -218,6 +223,7 @@
             counts: Vectors::new(MOST_COUNTS),
             dirty: BTreeMap::new(),
             orders: 0,
+            recent: RecentChanges::default(),
             next_period: times[0],
             next_spread: times[1],
             next_reach: times[2],
@@ -258,7 +264,10 @@
     /// This gateway has added an amount to a count whose name lives so long.
     pub fn add(&mut self, now: Micros, count: &str, amount: f64, life: Micros) {
         match self.counts.add(now, self.me.instance, count, amount, life) {
-            Some(change) => self.tell(change, self.me.instance),
+            Some(change) => {
+                self.recent.changed(now, (change.name.clone(), self.me.instance));
+                self.tell(change, self.me.instance);
+            }
             None => self.refused += 1,
         }
     }
@@ -296,6 +305,11 @@
             (false, true) => CHANGED,
             (false, false) => RELAYED,
         };
+        self.tell_times(Change { name, fresh }, of, left);
+    }
+
+    /// Tells a part so many times, and those that are still owed of it before.
+    fn tell_times(&mut self, Change { name, fresh }: Change, of: Instance, left: u32) {
         self.orders += 1;
         let order = self.orders;
         if self.dirty.len() >= MOST_DIRTY && !self.dirty.contains_key(&(name.clone(), of)) {
@@ -322,7 +336,7 @@
             }
             if let Some(change) = self.counts.join(now, &count, of, part, life) {
                 if change.fresh {
-                    self.tell_newcomer(&change.name);
+                    self.tell_newcomer(now, &change.name);
                 }
                 self.tell(change, of);
             }
@@ -331,7 +345,7 @@
 
     /// Somebody new adds to a count: it is to hear of the part of this gateway, which may not change any more, and of the
     /// parts of those who can't tell it themselves. Danger: whoever starts again would go by less than the total.
-    fn tell_newcomer(&mut self, count: &Arc<str>) {
+    fn tell_newcomer(&mut self, now: Micros, count: &Arc<str>) {
         let me = self.me.instance;
         if self.counts.part(count, me).is_none() {
             return;
@@ -339,18 +353,39 @@
         let live = |of: &Instance| self.members.get(of).is_some_and(|member| member.state <= State::Suspect);
         let silent: Vec<_> = self.counts.holders(count).filter(|of| !live(of)).collect();
         for of in silent {
-            self.tell_holders(count.clone(), of);
+            self.tell_holders(now, count.clone(), of);
         }
     }
 
     /// A part is told once to all who have one of that count, by whoever has one itself.
-    fn tell_holders(&mut self, name: Arc<str>, of: Instance) {
-        self.tell(Change { name: name.clone(), fresh: false }, of);
-        if let Some(dirty) = self.dirty.get_mut(&(name, of)) {
-            (dirty.direct, dirty.left) = (true, dirty.left.max(LEFT_BEHIND));
+    fn tell_holders(&mut self, now: Micros, name: Arc<str>, of: Instance) {
+        let part = (name, of);
+        self.tell_directly(&part, LEFT_BEHIND);
+        self.recent.changed(now, part);
+    }
+
+    /// A part is told so many times to all who have one of that count.
+    fn tell_directly(&mut self, part: &PartKey, times: u32) {
+        self.tell_times(Change { name: part.0.clone(), fresh: false }, part.1, times);
+        if let Some(dirty) = self.dirty.get_mut(part) {
+            dirty.direct = true;
         }
     }
 
+    /// What changed in a time in which a member may have heard nothing is told again to those who share a count with it.
+    /// Danger: a part that does not change any more is else lost to it until all that is known is compared.
+    fn tell_returned(&mut self, returned: Instance, from: Micros) {
+        let shared = |part: &&PartKey| self.counts.part(&part.0, returned).is_some();
+        let missed: Vec<PartKey> = self.recent.since(from).filter(shared).cloned().collect();
+        missed.iter().for_each(|part| self.tell_directly(part, CHANGED));
+    }
+
+    /// The same where it is this one that others could not hear, whoever of them that was.
+    fn tell_all_recent(&mut self, from: Micros) {
+        let unheard: Vec<PartKey> = self.recent.since(from).cloned().collect();
+        unheard.iter().for_each(|part| self.tell_directly(part, CHANGED));
+    }
+
     // Time.
 
     pub fn tick(&mut self, now: Micros) {
@@ -368,6 +403,9 @@
         }
         if now >= self.next_spread {
             self.next_spread = now + SPREAD;
+            for part in self.recent.take_quiet(now) {
+                self.tell_directly(&part, REPEATED);
+            }
             self.spread(now);
         }
         if now >= self.next_reach {
@@ -402,8 +440,8 @@
         }
         self.relayed.retain(|_, relayed| relayed.until > now);
         self.counts.sweep(now);
-        let doublings = u64::from(u64::BITS - (self.members.len() as u64 + 1).leading_zeros());
-        let patience = PERIOD * (SUSPICION * doublings).max(LEAST_SUSPICION);
+        self.recent.sweep(now);
+        let patience = self.patience();
         let gone: Vec<_> = self
             .members
             .values()
@@ -416,6 +454,17 @@
         self.members.retain(|_, member| member.state <= State::Suspect || now < member.since + REMEMBERED);
     }
 
+    /// How long a suspicion stands before its member is taken for gone.
+    fn patience(&self) -> Micros {
+        let doublings = u64::from(u64::BITS - (self.members.len() as u64 + 1).leading_zeros());
+        PERIOD * (SUSPICION * doublings).max(LEAST_SUSPICION)
+    }
+
+    /// How long before a member came to its state it may have heard nothing, or nobody have heard it: nobody notices at once.
+    fn unnoticed(&self) -> Micros {
+        self.patience() + REFUTED
+    }
+
     fn suspect(&mut self, now: Micros, of: Instance) {
         let Some(member) = self.members.get(&of).filter(|member| member.state == State::Alive) else {
             return;
@@ -740,6 +789,7 @@
             if state != State::Alive && incarnation >= self.incarnation && !self.leaving {
                 // I am here. Danger: a partition or a pause would else have it gone for good.
                 self.incarnation = incarnation.saturating_add(1);
+                self.tell_all_recent(now.saturating_sub(self.unnoticed()));
                 let alive = News { of: self.me.clone(), incarnation: self.incarnation, state: State::Alive };
                 for to in self.some_live(FANOUT, None) {
                     let packet = self.packet(Word::Nothing, vec![alive.clone()], Vec::new());
@@ -762,7 +812,7 @@
         if !newer {
             return;
         }
-        let was = known.state;
+        let (was, unheard) = (known.state, known.since.saturating_sub(self.unnoticed()));
         let member = Member { peer: of.clone(), incarnation, state, since: now, heard: known.heard };
         self.members.insert(of.instance, member);
         let left = self.tellings();
@@ -771,8 +821,11 @@
             // It comes back, as when a partition heals: both sides know what the other was not told.
             self.out.push_back(Output::Exchange { to: of.address });
         }
+        if was > State::Alive && state == State::Alive {
+            self.tell_returned(of.instance, unheard);
+        }
         if state > State::Suspect {
-            self.tell_for(of.instance);
+            self.tell_for(now, of.instance);
         }
         let event = match (was, state) {
             (State::Dead, State::Alive | State::Suspect) => Some(Event::Joined(of)),
@@ -786,12 +839,12 @@
     }
 
     /// Whoever is gone can tell nothing any more: those who share a count with it tell each other what they know of its part.
-    fn tell_for(&mut self, gone: Instance) {
+    fn tell_for(&mut self, now: Micros, gone: Instance) {
         let me = self.me.instance;
         let names: Vec<_> = self.counts.names_of(gone).collect();
         for name in names {
             if self.counts.part(&name, me).is_some() {
-                self.tell_holders(name, gone);
+                self.tell_holders(now, name, gone);
             }
         }
     }
