Every refusal tells its reason: over quota, ceiling, no time, no server, no retry left

The decision module names one of ten with each final answer that is not the service's own (refusal.rs), which request.answered tells as `why`. What is refused at the client's connection before that has a record of its own (request.refused, request.misread), as has the answer that is passed on as it comes. Names of events and fields as they were; all of it at level debug.

Decisions are the same: the conditions stand as before, each by itself. Tests: each reason brought about at the module, and three of them read from a process's log.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -6,4 +6,5 @@
 mod operator;
 mod pools;
 mod process;
+mod records;
 mod upgrade;
--- a/crates/fernscale/src/interface.rs
+++ b/crates/fernscale/src/interface.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::refusal::Refusal;
+
 /// Whole microseconds, of a clock that all gateways share.
 pub type Micros = u64;
 
@@ -173,9 +175,9 @@
     fn send(&mut self, transaction: &Id, server: &Id, limit: Micros);
     fn cancel(&mut self, transaction: &Id, trip: usize);
     /// Final answer: trying again is harmless, best after `wait`.
-    fn nack(&mut self, transaction: &Id, wait: Micros);
+    fn nack(&mut self, transaction: &Id, wait: Micros, why: Refusal);
     /// Final answer: nothing is promised.
-    fn abandon(&mut self, transaction: &Id);
+    fn abandon(&mut self, transaction: &Id, why: Refusal);
     /// Calls `alarm` with the same token, not before `delay` has passed.
     fn set_alarm(&mut self, delay: Micros, token: &str);
     fn probe(&mut self, server: &Id);
--- a/crates/fernscale/src/lib.rs
+++ b/crates/fernscale/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod interface;
 pub mod policy;
+pub mod refusal;
 pub mod settings;
 mod state;
--- a/crates/fernscale/src/policy.rs
+++ b/crates/fernscale/src/policy.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
+use crate::refusal::Refusal;
 use crate::state::{phase, Calls, Customer, Open, Server, Servers, Trip, Work};
 
 const SECOND: Micros = 1_000_000;
@@ -171,8 +172,15 @@
         let pays = within || plan.over_worth > plan.over_cost;
         let full = !within && (out > SPARE * caps || !self.waiting.is_empty());
         let part = plan.ceiling.is_none() || customer.ceiling >= asked.units;
-        if !pays || full || now + MARGIN + self.usual[asked.lane] as Micros / 2 >= open.hard_stop || !part {
-            return self.give_up(id);
+        let late = now + MARGIN + self.usual[asked.lane] as Micros / 2 >= open.hard_stop;
+        let why = match (pays && !full, late, part) {
+            (false, ..) => Some(Refusal::OverQuota),
+            (true, true, _) => Some(Refusal::NoTime),
+            (true, false, false) => Some(Refusal::Ceiling),
+            (true, false, true) => None,
+        };
+        if let Some(why) = why {
+            return self.give_up(id, why);
         }
         // What earns most for the work it takes goes first.
         let worth = plan.price * lane.importance / self.usual[asked.lane];
@@ -188,7 +196,7 @@
         // What can't be served in time is refused at once, the least rewarding first.
         if self.waiting.len() as f64 > (QUEUE * caps).max(LEAST_QUEUE) {
             if let Some((_, _, last)) = self.waiting.pop_last() {
-                self.give_up(&last);
+                self.give_up(&last, Refusal::QueueFull);
             }
         }
     }
@@ -237,7 +245,7 @@
         self.work.awake = if now >= self.work.awake { Micros::MAX } else { self.work.awake };
         while let Some((_, id)) = self.dues.first().filter(|(at, _)| *at <= now).cloned() {
             self.dues.pop_first();
-            self.give_up(&id);
+            self.give_up(&id, self.overdue(&id));
         }
         self.serve(now);
         if now >= self.work.looked + SECOND {
@@ -820,25 +828,42 @@
         let may = !open.trips.iter().any(|trip| trip.may_have_run)
             || self.settings.lanes[open.asked.lane].kind != Kind::Irreversible;
         let soon = now + self.usual[open.asked.lane] as Micros + MARGIN < open.hard_stop;
-        if may && soon && self.work.further >= 1.0 && open.trips.len() < self.settings.most_trips as usize {
-            let (lane, trips) = (open.asked.lane, open.trips.clone());
-            if let Some(server) = self.pick(lane, &trips, now) {
-                self.work.further -= 1.0;
-                return self.send(id, server, now);
+        let more = open.trips.len() < self.settings.most_trips as usize;
+        let why = match (may, soon, more, self.work.further >= 1.0) {
+            (false, ..) => Refusal::NotRepeatable,
+            (true, false, ..) => Refusal::NoTime,
+            (true, true, false, _) => Refusal::AttemptsUsed,
+            (true, true, true, false) => Refusal::RetryBudget,
+            (true, true, true, true) => {
+                let (lane, trips) = (open.asked.lane, open.trips.clone());
+                if let Some(server) = self.pick(lane, &trips, now) {
+                    self.work.further -= 1.0;
+                    return self.send(id, server, now);
+                }
+                Refusal::NoServer
             }
+        };
+        self.give_up(id, why);
+    }
+
+    /// What a transaction whose time here is over has waited for.
+    fn overdue(&self, id: &Id) -> Refusal {
+        match self.open.get(id) {
+            Some(open) if open.within.is_none() => Refusal::CounterSilent,
+            Some(open) if !open.trips.is_empty() => Refusal::AttemptUnfinished,
+            _ => Refusal::NoServer,
         }
-        self.give_up(id);
     }
 
     /// The final answer to what is given up: a nack where a repeat is harmless, else an abandonment.
-    fn give_up(&mut self, id: &Id) {
+    fn give_up(&mut self, id: &Id, why: Refusal) {
         let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
         let kind = self.settings.lanes[open.asked.lane].kind;
         let harmless = matches!(kind, Kind::Redoable | Kind::Labelled { group: Group::All, .. })
             || !open.trips.iter().any(|trip| trip.may_have_run);
         match harmless {
-            true => self.host.nack(id, self.settings.longest_wait),
-            false => self.host.abandon(id),
+            true => self.host.nack(id, self.settings.longest_wait, why),
+            false => self.host.abandon(id, why),
         }
         self.close(id, None);
     }
--- a/crates/fernscale/tests/common/mod.rs
+++ b/crates/fernscale/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 use fernscale::interface::*;
 use fernscale::policy::Gateway;
+use fernscale::refusal::Refusal;
 
 pub const MS: Micros = 1_000;
 
@@ -24,6 +25,8 @@
 pub struct Desk {
     pub now: Micros,
     pub did: Vec<Did>,
+    /// Why each transaction that was given up was.
+    pub refused: Vec<(Id, Refusal)>,
     /// Alarms that have not rung yet, but for the look that a bed has every ten milliseconds.
     pub alarms: Vec<(Micros, String)>,
 }
@@ -47,10 +50,12 @@
     fn cancel(&mut self, transaction: &Id, trip: usize) {
         self.note(Did::Cancel(transaction.clone(), trip));
     }
-    fn nack(&mut self, transaction: &Id, wait: Micros) {
+    fn nack(&mut self, transaction: &Id, wait: Micros, why: Refusal) {
+        self.0.borrow_mut().refused.push((transaction.clone(), why));
         self.note(Did::Nack(transaction.clone(), wait));
     }
-    fn abandon(&mut self, transaction: &Id) {
+    fn abandon(&mut self, transaction: &Id, why: Refusal) {
+        self.0.borrow_mut().refused.push((transaction.clone(), why));
         self.note(Did::Abandon(transaction.clone()));
     }
     fn set_alarm(&mut self, delay: Micros, token: &str) {
--- /dev/null
+++ b/crates/fernscale/tests/refusals.rs
@@ -0,0 +1,101 @@
+//! Each reason for giving a transaction up, brought about, and told as what it is.
+
+mod common;
+
+use common::*;
+use fernscale::interface::*;
+use fernscale::refusal::Refusal;
+
+const LEFT: Micros = 300 * MS;
+
+/// Why the only transaction that was given up was.
+fn refused(bed: &Bed) -> Vec<Refusal> {
+    bed.notes.0.borrow().refused.iter().map(|(_, why)| *why).collect()
+}
+
+#[test]
+fn beyond_the_quota_without_pay_it_is_the_quota() {
+    let plan = Plan { rate: 1.0, burst: 1.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut bed = Bed::new(Settings { counter: false, ..settings(Kind::Redoable, plan) }, 2);
+    (0..4).for_each(|_| drop(bed.ask("c", LEFT)));
+    let told = refused(&bed);
+    assert!(!told.is_empty() && told.iter().all(|why| *why == Refusal::OverQuota), "{told:?}");
+}
+
+#[test]
+fn beyond_the_ceiling_it_is_the_ceiling() {
+    let ceiling = Some(Ceiling { rate: 0.001, burst: 0.001 });
+    let mut bed = Bed::new(settings(Kind::Redoable, Plan { ceiling, ..wide() }), 2);
+    bed.ask("c", LEFT);
+    assert_eq!(refused(&bed), [Refusal::Ceiling]);
+}
+
+#[test]
+fn with_hardly_any_time_left_it_is_the_time() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 2);
+    bed.ask("c", 50 * MS);
+    assert_eq!(refused(&bed), [Refusal::NoTime]);
+}
+
+#[test]
+fn without_servers_the_first_that_wait_have_none_and_the_others_no_room_to_wait() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 0);
+    (0..3).for_each(|_| drop(bed.ask("c", LEFT)));
+    assert_eq!(refused(&bed), [Refusal::QueueFull]);
+    bed.pass(LEFT);
+    assert_eq!(refused(&bed), [Refusal::QueueFull, Refusal::NoServer, Refusal::NoServer]);
+}
+
+#[test]
+fn a_counter_that_says_nothing_is_the_reason_where_its_word_was_waited_for() {
+    let plan = Plan { rate: 100.0, burst: 0.5, ..wide() };
+    let mut bed = Bed::new(settings(Kind::Redoable, plan), 2);
+    bed.ask("c", LEFT);
+    bed.pass(LEFT);
+    assert_eq!(refused(&bed), [Refusal::CounterSilent]);
+}
+
+#[test]
+fn an_attempt_that_does_not_end_is_the_reason_at_the_end_of_the_time() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 2);
+    bed.ask("c", LEFT);
+    bed.pass(LEFT);
+    assert_eq!(refused(&bed), [Refusal::AttemptUnfinished]);
+}
+
+/// A transaction whose attempts end like this, each at once: why it is given up in the end.
+fn after_attempts(settings: Settings, outcome: Outcome) -> Vec<Refusal> {
+    let mut bed = Bed::new(settings, 8);
+    let asked = bed.ask("c", 1_000 * MS);
+    for trip in 0.. {
+        let Some((_, server)) = sends(&bed.did()).pop() else { break };
+        bed.end(&asked, trip, &server, outcome, MS);
+    }
+    refused(&bed)
+}
+
+#[test]
+fn what_may_have_had_an_effect_is_not_repeated() {
+    let told = after_attempts(settings(Kind::Irreversible, wide()), Outcome::Error);
+    assert_eq!(told, [Refusal::NotRepeatable]);
+}
+
+#[test]
+fn after_as_many_attempts_as_one_may_have_it_is_their_number() {
+    let told = after_attempts(settings(Kind::Redoable, wide()), Outcome::Error);
+    assert_eq!(told, [Refusal::AttemptsUsed]);
+}
+
+#[test]
+fn once_no_further_attempt_is_earned_it_is_their_budget() {
+    let mut bed = Bed::new(settings(Kind::Redoable, wide()), 64);
+    for _ in 0..60 {
+        let asked = bed.ask("c", 1_000 * MS);
+        for trip in 0.. {
+            let Some((_, server)) = sends(&bed.did()).pop() else { break };
+            bed.end(&asked, trip, &server, Outcome::NotConnected, MS);
+        }
+    }
+    let told = refused(&bed);
+    assert!(told.contains(&Refusal::RetryBudget), "{told:?}");
+}
--- a/crates/gateway/src/routing/client.rs
+++ b/crates/gateway/src/routing/client.rs
@@ -13,6 +13,7 @@
 use slog::{debug, warn};
 
 use super::figures::Result as Figure;
+use super::not_taken::NotTaken;
 use super::{Asked, Event, Final, Flow, Piece, Places, Reply, Shared};
 use crate::protocol::call::{self, Answer, Request};
 use crate::protocol::resp;
@@ -325,6 +326,7 @@
                 }
                 Step::Read(Err(Ending::NoMemory)) => {
                     // Nothing has been done with it, and it may well come again.
+                    NotTaken::NoMemory.record(&self.shared.log, None);
                     let wait = self.shared.outside.wait;
                     self.say(Answer::Nacked(wait).write(), None);
                     self.last = true;
@@ -422,7 +424,14 @@
                 let limits = &self.shared.limits;
                 let places = limits.open.take(1).zip(limits.bytes.take(call.weight()));
                 let stays = self.shared.stopping.get().is_none_or(|since| since.elapsed() < STILL_COMING);
-                let Some((open, bytes)) = places.filter(|_| self.served && stays) else {
+                let place = match (self.served, stays, places) {
+                    (false, ..) => Err(NotTaken::NoConnectionPlace),
+                    (true, false, _) => Err(NotTaken::Ending),
+                    (true, true, places) => places.ok_or(NotTaken::NoRequestPlace),
+                };
+                let Ok((open, bytes)) = place.inspect_err(|why| {
+                    why.record(&self.shared.log, Some(&call.transaction.id));
+                }) else {
                     // No room to take it, or no time: nothing has been done, and it may well come again. Danger: who writes
                     // on a busy connection without end would hold a gateway that ends until it is killed.
                     let figure = Some((call.transaction.lane, Figure::Nacked));
@@ -451,6 +460,7 @@
                 if self.wrong > MOST_WRONG {
                     return self.misread("too many commands make no sense").await;
                 }
+                debug!(self.shared.log, #"request.misread", "a command that makes no sense"; "why" => &why);
                 self.turn().await?;
                 call::error(&why)
             }
@@ -495,6 +505,7 @@
 
     /// What follows can't be told apart any more: one error, and the end.
     async fn misread(&mut self, why: &str) -> Result<(), Ending> {
+        debug!(self.shared.log, #"request.misread", "a command that can't be read"; "why" => why);
         self.turn().await?;
         self.say(call::error(&format!("bad syntax: {why}")), None);
         self.last = true;
--- a/crates/gateway/src/routing/host.rs
+++ b/crates/gateway/src/routing/host.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use fernscale::interface::{Host, Id, Micros};
+use fernscale::refusal::Refusal;
 use slog::{info, Logger};
 
 use super::counter::Add;
@@ -17,7 +18,7 @@
 pub enum Action {
     Send { transaction: Id, server: Id, limit: Micros },
     Cancel { transaction: Id, trip: usize },
-    Answer(Id, Answer),
+    Refuse { transaction: Id, answer: Answer, why: Refusal },
     Alarm(Micros, Box<str>),
     Server(Id, peer::Order),
     Add(Add),
@@ -50,11 +51,11 @@
     fn cancel(&mut self, transaction: &Id, trip: usize) {
         self.note(Action::Cancel { transaction: transaction.clone(), trip });
     }
-    fn nack(&mut self, transaction: &Id, wait: Micros) {
-        self.note(Action::Answer(transaction.clone(), Answer::Nacked(wait)));
+    fn nack(&mut self, transaction: &Id, wait: Micros, why: Refusal) {
+        self.note(Action::Refuse { transaction: transaction.clone(), answer: Answer::Nacked(wait), why });
     }
-    fn abandon(&mut self, transaction: &Id) {
-        self.note(Action::Answer(transaction.clone(), Answer::Abandoned));
+    fn abandon(&mut self, transaction: &Id, why: Refusal) {
+        self.note(Action::Refuse { transaction: transaction.clone(), answer: Answer::Abandoned, why });
     }
     fn set_alarm(&mut self, delay: Micros, token: &str) {
         let at = self.now() + delay;
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -9,6 +9,7 @@
 pub mod leavers;
 pub mod list;
 pub mod module;
+mod not_taken;
 pub mod operator;
 pub mod outcome;
 pub mod peer;
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -17,6 +17,7 @@
 use super::counter::Add;
 use super::figures::Pool;
 use super::host::{Action, Desk, Hands};
+use super::not_taken::NotTaken;
 use super::outcome::{self, Lost, Told};
 use super::turns::Turn as Timed;
 use super::{list, operator, peer, Asked, Event, Final, Reply, Return, Shared};
@@ -232,6 +233,7 @@
             }
             Event::Flowing { transaction, trip, flow } => {
                 if let Some(reply) = self.held.get_mut(&transaction).and_then(|held| held.reply.take()) {
+                    debug!(self.shared.log, #"request.answered", "served, as it comes"; "id" => &*transaction, "as" => "served");
                     finish(reply, Final::Flow(flow));
                     self.gateway.flowing(&transaction, trip);
                 }
@@ -268,6 +270,7 @@
     fn asked(&mut self, asked: Asked) {
         let Asked { call, reply, came } = asked;
         if self.held.contains_key(&call.transaction.id) {
+            NotTaken::IdInUse.record(&self.shared.log, Some(&call.transaction.id));
             return answer(reply, Answer::Misasked("this id is in use"));
         }
         let mut transaction = call.transaction.clone();
@@ -462,9 +465,10 @@
                     drop(orders.clone().send(peer::Order::Cancel { transaction, trip }).await);
                 }
             }
-            Action::Answer(id, said) => {
+            Action::Refuse { transaction: id, answer: said, why } => {
                 if let Some(reply) = self.held.get_mut(&id).and_then(|held| held.reply.take()) {
-                    debug!(self.shared.log, #"request.answered", "given up"; "id" => &*id, "as" => ?said);
+                    debug!(self.shared.log, #"request.answered", "given up"; "id" => &*id, "as" => ?said,
+                        "why" => why.name());
                     answer(reply, said);
                 }
                 self.forget(&id);
--- a/crates/lab/src/quotas.rs
+++ b/crates/lab/src/quotas.rs
@@ -8,6 +8,7 @@
 
 use fernscale::interface::{self as module, Host, Id, Listed, Load, Outcome, Returned, State, Transaction};
 use fernscale::policy::Gateway;
+use fernscale::refusal::Refusal;
 use serde_json::{json, Value};
 
 use crate::model::counter::{Counter, Said, Spec};
@@ -198,10 +199,10 @@
         self.note(Act::Send(transaction.clone(), server.clone()));
     }
     fn cancel(&mut self, _transaction: &Id, _trip: usize) {}
-    fn nack(&mut self, transaction: &Id, _wait: Micros) {
+    fn nack(&mut self, transaction: &Id, _wait: Micros, _why: Refusal) {
         self.note(Act::Refuse(transaction.clone()));
     }
-    fn abandon(&mut self, transaction: &Id) {
+    fn abandon(&mut self, transaction: &Id, _why: Refusal) {
         self.note(Act::Refuse(transaction.clone()));
     }
     fn set_alarm(&mut self, delay: Micros, token: &str) {
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use fernscale::interface::{Host, Id, Micros};
+use fernscale::refusal::Refusal;
 
 use crate::wire::{base64, millis};
 
@@ -40,11 +41,11 @@
         self.write("retract", format_args!(" tid={transaction} go={trip}"));
     }
 
-    fn nack(&mut self, transaction: &Id, wait: Micros) {
+    fn nack(&mut self, transaction: &Id, wait: Micros, _why: Refusal) {
         self.write("decline", format_args!(" tid={transaction} holdOffMs={}", millis(wait)));
     }
 
-    fn abandon(&mut self, transaction: &Id) {
+    fn abandon(&mut self, transaction: &Id, _why: Refusal) {
         self.write("fail", format_args!(" tid={transaction}"));
     }
 
