Starts of servers are turned into the gateway's own time once, however clocks are set

Cause: since_ms, a Unix time, was compared with the module's clock, which follows a step of the wall clock by 1/64 of the time gone by.

Change: transport/wall.rs remembers by how much the wall clock has been set since the start; routing/starts.rs turns each start once, by the least age that any of those settings gives, and keeps it. A start that is news and would be over ten minutes old is taken for now, as this process may have begun with a wrong wall clock. Operators' words of another process are turned likewise.

Not caught: a gateway that starts after its own wall clock alone was set ahead by less than ten minutes.

--- a/crates/fernscale/src/interface.rs
+++ b/crates/fernscale/src/interface.rs
@@ -155,8 +155,10 @@
     pub state: State,
     /// Its size beside the others', as far as the list knows.
     pub rating: f64,
-    /// When it last started; absent where that is long past.
+    /// When it last started, by the clock that the module is told; absent where that is long past.
     pub started: Option<Micros>,
+    /// The same as discovery tells it, which all gateways hear alike.
+    pub told_start: Option<Micros>,
 }
 
 /// The servers that one gateway is to use, as they were dealt out among all gateways.
--- a/crates/gateway/src/fleet/list.rs
+++ b/crates/gateway/src/fleet/list.rs
@@ -175,7 +175,7 @@
         let body = json!({ "index": index, "snapshot": full, "endpoints": endpoints.collect::<Vec<_>>() });
         match catalog::members(&body, &self.shared.outside) {
             Ok(mut members) => {
-                self.shared.left.borrow_mut().read(&mut members);
+                self.shared.reads_list(&mut members);
                 info!(self.shared.log, #"discovery.list", "list"; "index" => index, "full" => full,
                     "servers" => members.servers.len(), "by" => "fleet");
                 drop(self.needs.events.send(Event::List(members)).await);
--- a/crates/gateway/src/fleet/signals.rs
+++ b/crates/gateway/src/fleet/signals.rs
@@ -74,7 +74,7 @@
             name: listed.server.to_string(),
             weight: listed.rating,
             zone: zone(listed.zone),
-            started: listed.started.unwrap_or(0),
+            started: listed.told_start.unwrap_or(0),
         };
         let servers = listed.filter(|listed| listed.state == State::Ready).map(server).collect();
         let (now, shared) = (awake_or_not(), self.shared.clock.now());
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -91,6 +91,7 @@
         ),
         figures: Figures::new(&config.outside.lanes),
         cordoned: RefCell::default(),
+        starts: RefCell::default(),
         left: RefCell::default(),
         outside: config.outside,
         tightened: Default::default(),
--- a/crates/gateway/src/protocol/catalog.rs
+++ b/crates/gateway/src/protocol/catalog.rs
@@ -206,6 +206,9 @@
         let at = text(name).and_then(|name| names.iter().position(|known| known == name));
         at.unwrap_or(names.len()) as u32
     };
+    let told_start = (entry.get("since_ms").and_then(Value::as_f64))
+        .filter(|at| *at > 0.0 && *at < LATEST)
+        .map(|at| (at * 1000.0) as u64);
     let listed = Listed {
         server: Id::from(server),
         zone: place(&outside.zones, "zone"),
@@ -221,9 +224,8 @@
             None => return Err(format!("server '{server}' has no 'status'")),
         },
         rating: entry.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-        started: (entry.get("since_ms").and_then(Value::as_f64))
-            .filter(|at| *at > 0.0 && *at < LATEST)
-            .map(|at| (at * 1000.0) as u64),
+        started: told_start,
+        told_start,
     };
     Ok((listed, address))
 }
--- a/crates/gateway/src/routing/handover.rs
+++ b/crates/gateway/src/routing/handover.rs
@@ -86,6 +86,9 @@
 
     async fn order(&self, server: &str, back: Option<Micros>) {
         let out = back.is_none();
+        // Told by the wall clock, which may have been set meanwhile.
+        let clock = &self.shared.clock;
+        let back = back.map(|at| clock.now().saturating_sub(clock.least_age(at)));
         info!(self.shared.log, #"handover.word", "an operator's word, heard by another process"; "server" => server, "out" => out);
         let _ = self.orders.send(Order::Heard { server: Id::from(server), back }).await;
     }
--- a/crates/gateway/src/routing/list.rs
+++ b/crates/gateway/src/routing/list.rs
@@ -180,8 +180,7 @@
             }
             Ok(mut members) => {
                 members.moved = std::mem::take(&mut self.moved);
-                // From this moment on nothing begins at a server that leaves, also while the module has not heard of it.
-                self.shared.left.borrow_mut().read(&mut members);
+                self.shared.reads_list(&mut members);
                 (self.index, self.first) = (Some(members.index), false);
                 Event::List(members)
             }
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod outcome;
 pub mod peer;
+pub mod starts;
 pub mod turns;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -50,6 +51,8 @@
     pub figures: figures::Figures,
     /// Servers that the operators have taken out of use: no trip to one of them begins.
     pub cordoned: RefCell<BTreeSet<Id>>,
+    /// When servers started, by this gateway's clock.
+    pub starts: RefCell<starts::StartTimes>,
     /// Servers that the list says to leave: none begins there either.
     pub left: RefCell<leavers::Leavers>,
     /// Until when what is known of the servers may be used, by the clock of the fleet's jobs: older, no trip begins.
@@ -85,6 +88,21 @@
     pub fn serves(&self) -> bool {
         self.ready.get() && self.listening.get() && self.stopping.get().is_none()
     }
+
+    /// Goes by a list that discovery has given: when servers started, and who leaves, counts from this moment on, also while
+    /// the module has not heard of it.
+    pub fn reads_list(&self, members: &mut Members) {
+        let least_age = |unix| self.clock.least_age(unix);
+        self.starts.borrow_mut().read_news(self.clock.now(), least_age, members);
+        self.left.borrow_mut().read(members);
+    }
+
+    /// The same for the list that was known before the start.
+    pub fn reads_known(&self, members: &mut Members) {
+        let least_age = |unix| self.clock.least_age(unix);
+        self.starts.borrow_mut().read(self.clock.now(), least_age, members);
+        self.left.borrow_mut().read(members);
+    }
 }
 
 /// What happens, for the module.
--- a/crates/gateway/src/routing/module.rs
+++ b/crates/gateway/src/routing/module.rs
@@ -110,7 +110,7 @@
     ) {
         let mut mailbox = std::pin::pin!(mailbox);
         if let Some(mut known) = known {
-            self.shared.left.borrow_mut().read(&mut known);
+            self.shared.reads_known(&mut known);
             self.learn(known);
         }
         // Nobody waits for anything yet.
--- a/crates/gateway/src/transport/clock.rs
+++ b/crates/gateway/src/transport/clock.rs
@@ -1,6 +1,6 @@
 //! The time that the module is told.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -8,6 +8,8 @@
 use fernscale::interface::Micros;
 use futures_lite::future;
 
+use super::wall::WallClock;
+
 /// Part of the time gone by that the clock may be set forth or back by: intervals come out right to that part.
 const SLEW: i64 = 64;
 
@@ -68,22 +70,33 @@
     start: Instant,
     /// How far this clock was ahead of the time since the start, when last looked at, and that time.
     ahead: Cell<(i64, i64)>,
+    /// Where the shared clock stood, by the times that it was set.
+    wall: RefCell<WallClock>,
 }
 
 impl Clock {
     pub fn start() -> Self {
-        let clock = Clock { start: Instant::now(), ahead: Cell::default() };
-        clock.ahead.set((shared(), 0));
-        clock
+        let shared = shared();
+        let wall = RefCell::new(WallClock::new(0, shared));
+        Clock { start: Instant::now(), ahead: Cell::new((shared, 0)), wall }
     }
 
     pub fn now(&self) -> Micros {
-        let since = self.even() as i64;
-        let ahead = follow(self.ahead.get(), since, shared());
+        let (since, shared) = (self.even() as i64, shared());
+        self.wall.borrow_mut().look(since as Micros, shared);
+        let ahead = follow(self.ahead.get(), since, shared);
         self.ahead.set((ahead, since));
         (since + ahead) as Micros
     }
 
+    /// How long ago a time was that another machine tells by the shared clock, µs: the least that it may be, as that clock may have
+    /// been set meanwhile, here or there.
+    pub fn least_age(&self, unix: Micros) -> Micros {
+        let even = self.even();
+        self.wall.borrow_mut().look(even, shared());
+        self.wall.borrow().least_age(even, unix)
+    }
+
     /// Time since the start by the even clock alone, which nobody can set.
     pub fn even(&self) -> Micros {
         paced(micros(self.start.elapsed()))
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -6,3 +6,4 @@
 pub mod connection;
 pub mod ending;
 pub mod limits;
+pub mod wall;
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -48,6 +48,7 @@
         },
         figures: Figures::new(&[]),
         cordoned: RefCell::default(),
+        starts: RefCell::default(),
         left: RefCell::default(),
         tightened: Default::default(),
         list_fresh_until: Cell::new(u64::MAX),
--- a/crates/lab/src/quotas.rs
+++ b/crates/lab/src/quotas.rs
@@ -426,6 +426,7 @@
         state: State::Ready,
         rating: 1.0,
         started: None,
+        told_start: None,
     };
     let list: Vec<Listed> = (0..servers).map(listed).collect();
     (0..day.gateways as usize).for_each(|gateway| fleet.tell(gateway, |module| module.list(true, &list)));
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -154,6 +154,7 @@
 }
 
 fn listed(line: &Line) -> Parsed<Listed> {
+    let started = Some(line.time_or("launchedMs", 0)?).filter(|at| *at > 0);
     Ok(Listed {
         server: line.id("server")?,
         zone: line.whole_or("regionPart", 0)? as u32,
@@ -166,7 +167,8 @@
             other => return Err(format!("'condition={other}' is no condition")),
         },
         rating: line.number_or("rating", 1.0)?,
-        started: Some(line.time_or("launchedMs", 0)?).filter(|at| *at > 0),
+        started,
+        told_start: started,
     })
 }
 
