A failing test: a folder that can't be used for a moment keeps two processes apart

A folder's writes may fail a while (ENOSPC, EIO). A process that can't take its place among the records at its start goes on as if no other had this gateway, for good: in an upgrade both have the whole of its ceilings and of its cold budgets, and an operator's word at one is not heard by the other.

--- a/crates/cli/tests/sockets/upgrade.rs
+++ b/crates/cli/tests/sockets/upgrade.rs
@@ -252,3 +252,34 @@
         wait(10);
     }
 }
+
+/// Danger: a process that can't be seen has the whole of its gateway's ceilings and cold budgets, and so has the other.
+#[test]
+fn a_folder_that_can_not_be_used_for_a_moment_does_not_keep_two_processes_apart() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let (listener, _) = listen();
+    let server = Server::start(Does::Serve);
+    let _first = Inherits::start(&listener, directory.path(), &[&server]);
+    let (records, away) = (directory.path().join("fernscale"), directory.path().join("away"));
+    std::fs::rename(&records, &away).expect("away");
+    std::fs::write(&records, "no directory").expect("written");
+    let back = (records.clone(), away.clone());
+    let mends = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(500));
+        std::fs::remove_file(&back.0).expect("removed");
+        std::fs::rename(&back.1, &back.0).expect("back");
+    });
+    let second = Inherits::start(&listener, directory.path(), &[&server]);
+    mends.join().expect("mended");
+    // The first hears of it, which it can only if it sees the second.
+    let began = Instant::now();
+    let locks = || {
+        let entries = std::fs::read_dir(&records).into_iter().flatten().flatten();
+        entries.filter(|entry| entry.path().extension().is_some_and(|kind| kind == "lock")).count()
+    };
+    while locks() < 2 {
+        assert!(began.elapsed() < SOON, "the second is not seen");
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(second.cordon("cordon", "s0"), 200);
+}
