A folder that fails for a moment is tried again, and a dial that lacks something here

Cause: the place among a gateway's processes was taken at the start or never, so that two processes of an upgrade each had the whole of ceilings and cold budgets after one error; and any error of a dial but for descriptors (EINTR, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN too) was held against the server.

Dials are made again up to ten times, 5 ms apart, where the error says nothing of the other side, and count as never sent after that (transport/calls.rs). A lock file that can't be named is cleared away.

--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -166,24 +166,15 @@
     let door = Door::new(&shared, &events, leave);
     let shares = config.passed.is_some();
     if shares {
-        let link = Link::open(&shared, &std::env::temp_dir(), config.sockets, order.clone());
-        match link.map(Rc::new) {
-            Ok(link) => {
-                executor.spawn(link.clone().run()).detach();
-                let _ = shared.handover.set(link);
-            }
-            Err(error) => {
-                let why = error.to_string();
-                warn!(log, #"handover.none", "goes on as if no other process had this gateway"; "why" => why);
-            }
-        }
+        let joins = Link::join(shared.clone(), std::env::temp_dir(), config.sockets, order.clone());
+        executor.spawn(joins).detach();
     }
     let (waits, listener) = (shared.clone(), Rc::new(listener));
     let accepts = listener.clone();
     let opens = async move {
         // Whoever else listens there serves clients meanwhile.
         let began = Instant::now();
-        let settled = || waits.handover.get().is_none_or(|link| link.settled()) || began.elapsed() > SETTLED;
+        let settled = || waits.handover.get().is_some_and(|link| link.settled()) || began.elapsed() > SETTLED;
         while shares && !(waits.ready.get() && settled()) {
             Timer::after(LOOK).await;
         }
--- a/crates/gateway/src/routing/handover.rs
+++ b/crates/gateway/src/routing/handover.rs
@@ -1,7 +1,7 @@
 //! The way to the other processes of this gateway, while one takes the other's place.
 
 use std::cell::{Cell, RefCell};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -34,8 +34,24 @@
 }
 
 impl Link {
-    /// Takes a place among the records in the directory that the processes share, with so many descriptors for all.
-    pub fn open(
+    /// Takes a place among the records in the directory that the processes share, with so many descriptors for all; as often as it
+    /// takes, as a folder may fail for a while. Others that hear nothing of this process have all of the gateway's limits.
+    pub async fn join(shared: Rc<Shared>, directory: PathBuf, sockets: usize, orders: Sender<Order>) {
+        let link = loop {
+            match Link::open(&shared, &directory, sockets, orders.clone()) {
+                Ok(link) => break Rc::new(link),
+                Err(error) => {
+                    warn!(shared.log, #"handover.none", "goes on as if no other process had this gateway, and tries again";
+                        "why" => error.to_string());
+                    Timer::after(LOOK_ALONE).await;
+                }
+            }
+        };
+        let _ = shared.handover.set(link.clone());
+        link.run().await;
+    }
+
+    fn open(
         shared: &Rc<Shared>,
         directory: &Path,
         sockets: usize,
--- a/crates/gateway/src/transport/calls.rs
+++ b/crates/gateway/src/transport/calls.rs
@@ -1,8 +1,11 @@
 //! What the errors of single calls to the system mean: some say only that the call is to be made again.
 
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 
+use async_io::Timer;
+
 /// Others wait to be accepted behind one that failed.
 const AFTER_THIS_ONE: Duration = Duration::from_micros(100);
 /// Descriptors and memory come back when something ends, and clients have their deadlines meanwhile.
@@ -50,3 +53,46 @@
         }
     }
 }
+
+/// Pause before a connection is tried again for which this machine lacked something: short beside any client's time, and
+/// long enough not to spin.
+const BEFORE_ANOTHER_DIAL: Duration = Duration::from_millis(5);
+const MOST_DIALS: usize = 10;
+
+/// What the error of a dial says: of the other side, or of this machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotDialled {
+    /// Nothing yet: a signal came, or this machine lacked memory, buffers or a free port for a moment.
+    TryAgain,
+    /// No descriptor is left here: something has to end first.
+    NoDescriptor,
+    /// Nobody is there, or no way leads there.
+    Unreachable,
+}
+
+impl NotDialled {
+    /// By the errors that socket(2) and connect(2) document.
+    pub fn of(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            // EINTR, EAGAIN, ENOMEM, EADDRNOTAVAIL, ENOBUFS.
+            Some(4 | 11 | 12 | 99 | 105) => NotDialled::TryAgain,
+            // ENFILE, EMFILE.
+            Some(23 | 24) => NotDialled::NoDescriptor,
+            _ => NotDialled::Unreachable,
+        }
+    }
+}
+
+/// Dials again, after a pause each time, where the error says nothing of the other side. What this machine lacks for longer is
+/// told: another attempt is the decision module's matter.
+pub async fn dialled<T, D: Future<Output = io::Result<T>>>(mut dial: impl FnMut() -> D) -> io::Result<T> {
+    for _ in 1..MOST_DIALS {
+        match dial().await {
+            Err(error) if NotDialled::of(&error) == NotDialled::TryAgain => {
+                Timer::after(BEFORE_ANOTHER_DIAL).await;
+            }
+            other => return other,
+        }
+    }
+    dial().await
+}
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -11,7 +11,7 @@
 use rustix::event::{self, PollFd, PollFlags, Timespec};
 
 use super::buffer::Buffer;
-use super::calls::uninterrupted;
+use super::calls::{dialled, uninterrupted};
 use super::ending::Ending;
 use super::limits::Place;
 use crate::protocol::Scanned;
@@ -50,7 +50,9 @@
         buffer: Buffer,
         place: Option<Place>,
     ) -> Result<Self, Ending> {
-        let dial = async { Async::<TcpStream>::connect(to).await.map_err(|error| Ending::of_dial(&error)) };
+        let dial = async {
+            dialled(|| Async::<TcpStream>::connect(to)).await.map_err(|error| Ending::of_dial(&error))
+        };
         let stream = within(Instant::now() + limit, Ending::NeverUp, dial).await?;
         Ok(Connection { to: Some(to), ..Connection::new(stream, buffer, place) })
     }
--- a/crates/gateway/src/transport/ending.rs
+++ b/crates/gateway/src/transport/ending.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use super::calls::NotDialled;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     /// No descriptor was left for it.
@@ -41,10 +43,9 @@
 impl Ending {
     /// How a dial that failed ends.
     pub fn of_dial(error: &io::Error) -> Self {
-        // EMFILE and ENFILE: this machine has no descriptor left, which says nothing of the other side.
-        match error.raw_os_error() {
-            Some(23 | 24) => Ending::NoSocket,
-            _ => Ending::Refused,
+        match NotDialled::of(error) {
+            NotDialled::TryAgain | NotDialled::NoDescriptor => Ending::NoSocket,
+            NotDialled::Unreachable => Ending::Refused,
         }
     }
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -2,7 +2,8 @@
 
 use std::io::{Error, ErrorKind};
 
-use fernscale_gateway::transport::calls::{uninterrupted, NotAccepted};
+use fernscale_gateway::transport::calls::{dialled, uninterrupted, NotAccepted};
+use fernscale_gateway::transport::ending::Ending;
 
 #[test]
 fn a_call_that_signals_interrupt_is_made_again_and_any_other_error_is_told() {
@@ -41,3 +42,28 @@
     assert!([103, 4, 71, 100, 113, 110].into_iter().all(|number| of(number) == NotAccepted::ThisOne));
     assert!(NotAccepted::ThisOne.pause() < NotAccepted::NoResources.pause());
 }
+
+/// What becomes of dials that fail with these errors, the last of them for ever; `None`: one that comes up. And how many there were.
+fn after_dials(errors: &[Option<i32>]) -> (Result<(), Ending>, usize) {
+    let mut dials = 0;
+    let end = async_io::block_on(dialled(|| {
+        let error = errors[dials.min(errors.len() - 1)];
+        dials += 1;
+        async move { error.map_or(Ok(()), |error| Err(Error::from_raw_os_error(error))) }
+    }));
+    (end.map_err(|error| Ending::of_dial(&error)), dials)
+}
+
+#[test]
+fn a_dial_that_fails_for_want_of_something_here_is_tried_again_and_never_held_against_the_server() {
+    // EINTR, EAGAIN, ENOMEM, EADDRNOTAVAIL, ENOBUFS.
+    for here in [4, 11, 12, 99, 105] {
+        assert_eq!(after_dials(&[Some(here), Some(here), None]), (Ok(()), 3), "{here}");
+        assert_eq!(after_dials(&[Some(here)]), (Err(Ending::NoSocket), 10), "{here}");
+    }
+    // ENFILE, EMFILE: what has one must end first.
+    assert!([23, 24].into_iter().all(|here| after_dials(&[Some(here)]) == (Err(Ending::NoSocket), 1)));
+    // ENETUNREACH, ECONNRESET, ETIMEDOUT, ECONNREFUSED, EHOSTUNREACH.
+    let there = [101, 104, 110, 111, 113];
+    assert!(there.into_iter().all(|there| after_dials(&[Some(there)]) == (Err(Ending::Refused), 1)));
+}
--- a/crates/handover/src/shell.rs
+++ b/crates/handover/src/shell.rs
@@ -54,7 +54,12 @@
                 // Danger: one that looks in between would take an unlocked file for that of a dead process and clear it
                 // away, and from then on nobody would see this one. It is locked before it has its name.
                 Ok(lock) => {
-                    lock.lock().and_then(|()| fs::rename(&fresh, &path)).map_err(unusable)?;
+                    let named = lock.lock().and_then(|()| fs::rename(&fresh, &path));
+                    named.map_err(|why| {
+                        // It is tried again, with another number.
+                        let _ = fs::remove_file(&fresh);
+                        unusable(why)
+                    })?;
                     return Ok(Shell { directory, me, _lock: lock });
                 }
                 Err(why) if why.kind() == io::ErrorKind::AlreadyExists => me += 1,
