A reply of which only the head of its array has come is waited for

Cause: what is looked for at the front of an array was taken for missing where nothing of it had come yet; a read or a packet that ends right behind "*3\r\n" made a good answer a spoilt one. What may not be repeated was abandoned, the rest tried again elsewhere.

--- a/crates/gateway/src/protocol/resp.rs
+++ b/crates/gateway/src/protocol/resp.rs
@@ -61,8 +61,11 @@
         return Err("no array");
     }
     let Some((Some(1..), at)) = length(bytes, 0)? else { return Ok(None) };
-    if !matches!(bytes.get(at), Some(b'$')) {
-        return Err("no bulk string at the front of an array");
+    match bytes.get(at) {
+        // Its head is all that has come yet.
+        None => return Ok(None),
+        Some(b'$') => {}
+        Some(_) => return Err("no bulk string at the front of an array"),
     }
     Ok(bulk(bytes, at)?.and_then(|(value, end)| Some((value?, end))))
 }
