Exchanges between gateways read and write whole pieces through signals and short calls

Change: transport/stream.rs writes all and reads so many bytes, as connections do; the mesh uses it, dials again where something is lacking here, and sends a datagram again that a signal interrupts. A connect that is interrupted goes on.

--- a/crates/gateway/src/fleet/mesh.rs
+++ b/crates/gateway/src/fleet/mesh.rs
@@ -19,18 +19,22 @@
 use fernscale_tally::rumour::Live;
 use fernscale_tally::tally;
 use fernscale_tally::vectors::Instance;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
+use futures_lite::{future, StreamExt};
 use rustix::io::Errno;
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use slog::{info, warn, Logger};
 
 use crate::routing::Shared;
+use crate::transport::calls::{dialled, uninterrupted};
 use crate::transport::clock::unix;
+use crate::transport::stream::{read_exact, write_all};
 
 /// Datagrams taken in a row: a flood of them must leave the core to those who are served.
 const IN_A_ROW: usize = 64;
 /// And the pause after so many, by which a flood is held to some 60,000 a second.
 const PAUSE: Duration = Duration::from_millis(1);
+/// Bytes that tell a stream's length.
+const HEAD: usize = 4;
 /// Exchanges that others may have under way here. What is read of each before its seal is looked at has a bound, so that
 /// strangers can't take more memory than all of them times that.
 const EXCHANGES: usize = 4;
@@ -254,7 +258,7 @@
                     let bytes = self.sealer.borrow_mut().seal(unix(), &packet);
                     // A datagram that can't be sent now is as good as lost on the way.
                     if let Some(socket) = &*self.socket.borrow() {
-                        let _ = socket.get_ref().send_to(&bytes, to);
+                        let _ = uninterrupted(|| socket.get_ref().send_to(&bytes, to));
                     }
                 }
                 Output::Exchange { to } => {
@@ -295,10 +299,10 @@
         self.streams.set(self.streams.get() + 1);
         let work = async move {
             let send = async {
-                let mut stream = connect(Some(mesh.from), to).await?;
-                write(&mut stream, &sealed).await?;
+                let stream = connect(Some(mesh.from), to).await?;
+                write(&stream, &sealed).await?;
                 // Until the other has read it all: what is not read yet goes with a connection that is let go.
-                let _ = read(&mut stream).await;
+                let _ = read(&stream).await;
                 Ok(())
             };
             let late = async {
@@ -370,8 +374,8 @@
     }
 
     /// Somebody asks for all that is known here, and tells what it knows; or only asks who is there.
-    async fn exchange(&self, mut stream: Async<TcpStream>) -> io::Result<()> {
-        let bytes = read(&mut stream).await?;
+    async fn exchange(&self, stream: Async<TcpStream>) -> io::Result<()> {
+        let bytes = read(&stream).await?;
         let opened = self.sealer.borrow_mut().open::<Stream>(unix(), &bytes);
         let answer = match opened {
             Ok((sealed_by, Stream::Full(full))) if sealed_by == full.from.instance => {
@@ -404,7 +408,7 @@
                 return Ok(());
             }
         };
-        write(&mut stream, &answer).await
+        write(&stream, &answer).await
     }
 
     fn full_came(&self, bytes: &[u8]) {
@@ -464,26 +468,18 @@
     }
 }
 
-async fn read(stream: &mut Async<TcpStream>) -> io::Result<Vec<u8>> {
-    let mut head = [0; 4];
-    stream.read_exact(&mut head).await?;
-    let length = u32::from_be_bytes(head) as usize;
+async fn read(stream: &Async<TcpStream>) -> io::Result<Vec<u8>> {
+    let head = read_exact(stream, HEAD).await?;
+    let length = head.iter().fold(0, |length, byte| length << u8::BITS | usize::from(*byte));
     if length > MOST_FULL {
         return Err(io::Error::other("too long"));
     }
-    // It grows with what comes, not with what was announced.
-    let mut bytes = Vec::new();
-    stream.take(length as u64).read_to_end(&mut bytes).await?;
-    if bytes.len() == length {
-        Ok(bytes)
-    } else {
-        Err(io::Error::from(io::ErrorKind::UnexpectedEof))
-    }
+    read_exact(stream, length).await
 }
 
-async fn write(stream: &mut Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
-    stream.write_all(&(bytes.len() as u32).to_be_bytes()).await?;
-    stream.write_all(bytes).await
+async fn write(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    write_all(stream, &(bytes.len() as u32).to_be_bytes()).await?;
+    write_all(stream, bytes).await
 }
 
 /// A connection from this address, where it leads there.
@@ -493,13 +489,14 @@
             && from.is_ipv4() == to.is_ipv4()
             && from.is_loopback() == to.ip().is_loopback()
     };
-    let Some(from) = from.filter(leads) else { return Async::<TcpStream>::connect(to).await };
+    let Some(from) = from.filter(leads) else { return dialled(|| Async::<TcpStream>::connect(to)).await };
     let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
     let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
     rustix::net::bind(&socket, &SocketAddr::new(from, 0))?;
     match rustix::net::connect(&socket, &to) {
-        Ok(()) | Err(Errno::INPROGRESS) => {}
+        // One that a signal interrupts goes on all the same.
+        Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => {}
         Err(error) => return Err(error.into()),
     }
     let stream = Async::new(TcpStream::from(socket))?;
@@ -513,9 +510,9 @@
 /// Sends sealed bytes to a gateway, from an address of this machine if one is given, and gives its sealed answer.
 pub async fn dial_and_exchange(from: Option<IpAddr>, to: SocketAddr, sealed: Vec<u8>) -> io::Result<Vec<u8>> {
     let work = async {
-        let mut stream = connect(from, to).await?;
-        write(&mut stream, &sealed).await?;
-        read(&mut stream).await
+        let stream = connect(from, to).await?;
+        write(&stream, &sealed).await?;
+        read(&stream).await
     };
     let late = async {
         Timer::at(Instant::now() + EXCHANGE).await;
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -1,7 +1,7 @@
 //! One connection: dialled or accepted, read into its buffer, written to.
 
 use std::future::Future;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 use super::calls::{dialled, uninterrupted};
 use super::ending::Ending;
 use super::limits::Place;
+use super::stream::write_all;
 use crate::protocol::Scanned;
 
 /// Bytes of a long value that are passed on at a time. A value takes three such pieces, one on each side and one between
@@ -146,17 +147,6 @@
     }
 }
 
-/// Writes all, however little of it the system takes at a time.
-async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
-    while !bytes.is_empty() {
-        match stream.write_with(|mut stream| uninterrupted(|| stream.write(bytes))).await? {
-            0 => return Err(ErrorKind::WriteZero.into()),
-            count => bytes = &bytes[count..],
-        }
-    }
-    Ok(())
-}
-
 async fn read(stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<(), Ending> {
     let room = buffer.room()?;
     // To try a read first would be in vain nearly always, and again with each wake of a task that waits for
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -6,4 +6,5 @@
 pub mod connection;
 pub mod ending;
 pub mod limits;
+pub mod stream;
 pub mod wall;
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -1,9 +1,12 @@
 //! What the errors of calls to the system mean.
 
-use std::io::{Error, ErrorKind};
+use std::io::{Error, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
 
 use fernscale_gateway::transport::calls::{dialled, uninterrupted, NotAccepted};
 use fernscale_gateway::transport::ending::Ending;
+use fernscale_gateway::transport::stream::{read_exact, write_all};
 
 #[test]
 fn a_call_that_signals_interrupt_is_made_again_and_any_other_error_is_told() {
@@ -67,3 +70,34 @@
     let there = [101, 104, 110, 111, 113];
     assert!(there.into_iter().all(|there| after_dials(&[Some(there)]) == (Err(Ending::Refused), 1)));
 }
+
+/// Two ends of a connection, the first of the event loop.
+fn connection() -> (async_io::Async<TcpStream>, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let far = TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
+    let (near, _) = listener.accept().expect("accepted");
+    (async_io::Async::new(near).expect("registered"), far)
+}
+
+#[test]
+fn whole_pieces_pass_though_each_call_takes_or_gives_a_part() {
+    let bytes: Vec<u8> = (0..3_000_000u32).map(|at| at as u8).collect();
+    let (near, mut far) = connection();
+    let expected = bytes.clone();
+    let reads = thread::spawn(move || {
+        let (mut came, mut part) = (Vec::new(), [0; 1_013]);
+        while came.len() < expected.len() {
+            let count = far.read(&mut part).expect("read");
+            assert!(count > 0, "it ends too early");
+            came.extend_from_slice(&part[..count]);
+        }
+        assert!(came == expected);
+        expected.chunks(777).for_each(|part| far.write_all(part).expect("written"));
+    });
+    async_io::block_on(write_all(&near, &bytes)).expect("written");
+    let came = async_io::block_on(read_exact(&near, bytes.len())).expect("read");
+    assert!(came == bytes);
+    reads.join().expect("the other end");
+    let ended = async_io::block_on(read_exact(&near, 1)).map_err(|error| error.kind());
+    assert_eq!(ended, Err(ErrorKind::UnexpectedEof));
+}
