A failing test: a voter that lost its folder may make a second owner of one term

Fits, and by reading: voter 0 had promised term 76 to a loser, voters 1 and 2 to the owner; at the merge the first voter's word stays, and a promise that is asked for again is granted without a look at leases. Ruled out: gateway 1's upgrade, over four seconds before.

The test is red.

--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -640,6 +640,44 @@
     assert_eq!(world.disks[0].promises, world.disks[1].promises);
 }
 
+/// Danger: two of one term, of whom one is the owner by the very promise that this voter has forgotten. To go on with the other's would
+/// make that one an owner as well.
+#[test]
+fn a_voter_that_has_forgotten_gives_a_term_to_none_of_two_whom_others_have_promised_it() {
+    let names: Vec<Name> = ["a", "b", "c"].into_iter().map(Name::from).collect();
+    let voters = Voters::first(&names);
+    let (owner, loser) = (Fence { term: 4, run: Run(7) }, Fence { term: 4, run: Run(8) });
+    for [of_b, of_c] in [[owner, loser], [loser, owner]] {
+        let mut voter = Voter::start(&names[0], Run(1), &voters, TERMS, Durable::default(), 0);
+        voter.tick(0);
+        said(&mut voter, 0);
+        for (from, fence) in [(&names[1], of_b), (&names[2], of_c)] {
+            let known = Known {
+                of: names[0].clone(),
+                writes: 5,
+                life: 1,
+                founded: true,
+                forgot: false,
+                pristine: false,
+                set: voters.set(),
+                frozen: 0,
+                promises: BTreeMap::from([("j".into(), fence)]),
+            };
+            voter.answered(from, Say::Known(known));
+        }
+        let told = said(&mut voter, 0);
+        assert!(told.contains(&Output::Event(Told::Votes { anew: true })), "{told:?}");
+        let mut granted = |now: Micros, fence: Fence| {
+            let ask = Ask::Claim { job: "j".into(), fence, number: 1, set: voters.set() };
+            voter.asked(now, fence.run, ask);
+            let told = said(&mut voter, now);
+            told.iter().any(|out| matches!(out, Output::Say { say: Say::Granted { .. }, .. }))
+        };
+        assert!(!granted(1, owner) && !granted(1, loser), "{of_b:?} and {of_c:?}");
+        assert!(granted(TERMS.lease + 1, Fence { term: 5, run: Run(9) }));
+    }
+}
+
 #[test]
 fn without_a_majority_nobody_owns_and_a_disk_that_fails_makes_no_promise() {
     let jobs = jobs(1);
