A voter that has forgotten gives a term to none of two whom others have promised it

Cause: let in anew, a voter took over, of two promises of one term, the one it heard of first, and went on with it: a promise that is asked for again is granted without a look at leases. Where the other run was the owner by the very promise that was lost, the loser became an owner of the same term.

Change: such a term is nobody's at that voter; the owner renews by one above, as above any loser's.

--- a/crates/owner/src/voter.rs
+++ b/crates/owner/src/voter.rs
@@ -15,6 +15,8 @@
 
 /// Writes that wait for the disk at the most: what is claimed beyond that would wait longer than a claim is tried.
 const MOST_WAITING: usize = 1_024;
+/// Stands for a run in a promise that is nobody's: of that term nothing is promised any more. Runs are drawn from 64 bits.
+const NOBODY: Run = Run(0);
 /// How often a voter that starts asks the others.
 const HELLO: Micros = 100 * MILLISECOND;
 
@@ -581,9 +583,12 @@
         for known in known.values() {
             for (job, fence) in &known.promises {
                 let own = self.durable.promises.entry(job.clone()).or_insert(*fence);
-                // Of one term its own promise is the one that it gave.
                 if fence.term > own.term {
                     *own = *fence;
+                } else if anew && fence.term == own.term && fence.run != own.run {
+                    // Danger: it gave this term to one of the two, who owns the job by that, and can't know to whom. Where it
+                    // has forgotten nothing its own promise is the one that it gave.
+                    own.run = NOBODY;
                 }
             }
             self.durable.writes = self.durable.writes.max(known.writes);
