The lab judges attempts in flight by the gateway's side of their connections

Cause: an attempt that a gateway gave up after its time limit, by closing its connection, was read by the lab after the retry that followed it, and taken for a second attempt in flight.

Change: the lab asks the system when the bytes and the end of the gateway's own connection came, and counts two attempts as in flight together unless one connection had ended before the other attempt was sent.

--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -86,6 +86,16 @@
     AttemptArrived {
         arrival: Arrival,
     },
+    /// Of two attempts of a request, the gateway had ended the connection of one before it sent the other, by when both came to
+    /// the machine: the one that comes next to this server, and the one with this number, which has come before.
+    #[serde(rename = "apart")]
+    AttemptsApart {
+        id: u64,
+        #[serde(rename = "box_")]
+        server: String,
+        #[serde(rename = "trip")]
+        other: usize,
+    },
     #[serde(rename = "ran")]
     AttemptEnded {
         #[serde(rename = "trip")]
--- a/crates/lab/src/live/gateway.rs
+++ b/crates/lab/src/live/gateway.rs
@@ -186,7 +186,7 @@
     /// What the platform's file has no words for.
     fn own_file(&self) -> io::Result<PathBuf> {
         let file = self.folder.join(format!("gateway-{}.toml", self.number));
-        let mut text = String::from("[log]\nform = \"json\"\nmost-a-second = 1000\n");
+        let mut text = String::new();
         if let Some(MeshPlaces { listen, told, seeds }) = &self.places.mesh {
             let seeds: Vec<_> = seeds.iter().map(SocketAddr::to_string).collect();
             text += &format!("[mesh]\nlisten = \"{listen}\"\nadvertise = \"{told}\"\nseeds = {seeds:?}\n");
@@ -441,9 +441,18 @@
     Ok(())
 }
 
-/// What a gateway's own file says of the fleet's jobs and of its clock, with a word for the folder of the store.
+/// The log's section of a gateway's own file: each event so often a second at the most, as the history keeps all of them.
+fn log_section(debug: bool) -> &'static str {
+    if debug {
+        "[log]\nform = \"json\"\nlevel = \"debug\"\nmost-a-second = 100000\n"
+    } else {
+        "[log]\nform = \"json\"\nmost-a-second = 1000\n"
+    }
+}
+
+/// What a gateway's own file says of its log, the fleet's jobs and its clock, with a word for the folder of the store.
 pub fn jobs(scenario: &Scenario, number: u32, effects: Option<SocketAddr>) -> String {
-    let mut text = String::new();
+    let mut text = String::from(log_section(scenario.fleet.debug_log));
     if let Some(subsets) = scenario.fleet.subsets.as_ref().filter(|subsets| subsets.on) {
         text += &format!("[subsets]\nleast = {}\n", subsets.least);
         if subsets.zones {
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -1,5 +1,6 @@
 //! Drives the models on loopback, in one thread: whatever happens in a run has one order, which the ledger sees.
 
+pub mod attempts;
 pub mod clients;
 pub mod counter;
 pub mod discovery;
@@ -30,6 +31,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 
+use self::attempts::AttemptConnections;
 use crate::history::{Event, Recorder};
 use crate::request_ledger::RequestLedger;
 use crate::Micros;
@@ -40,6 +42,8 @@
     pub court: RefCell<Recorder>,
     /// The work of each transaction, for the boxes that do it.
     pub works: RefCell<HashMap<u64, Micros>>,
+    /// The gateways' side of attempts in flight.
+    pub attempts: AttemptConnections,
     start: Instant,
     /// The shared clock at the start, in microseconds of Unix time.
     pub start_unix: Micros,
@@ -52,6 +56,7 @@
             executor,
             court: RefCell::new(court),
             works: RefCell::default(),
+            attempts: AttemptConnections::default(),
             start: Instant::now(),
             start_unix: unix.as_micros() as Micros,
         })
--- a/crates/lab/src/live/play.rs
+++ b/crates/lab/src/live/play.rs
@@ -539,6 +539,7 @@
                 "connections_opened": sum(&|host| host.opened.get()),
                 "misworded": misworded,
                 "doubled_keys": ledger.doubled_keys(),
+                "overtaken": ledger.overtaken,
             },
             "discovery": self.list.shown(played),
             "counter": self.counter.as_ref().map(|counter| {
--- a/crates/lab/src/live/relay.rs
+++ b/crates/lab/src/live/relay.rs
@@ -115,8 +115,10 @@
         };
         let there = self.one_way(&self.there, near.other(), far.other());
         let back = self.one_way(&self.back, far.other(), near.other());
+        let connection = far.local().map(|address| self.world.attempts.relay_opened(address, &near));
         // One way may end while the other goes on, but not after a reset.
         let both = future::try_zip(there, back).await;
+        drop(connection);
         if both.is_err() {
             near.reset();
             far.reset();
--- a/crates/lab/src/live/servers.rs
+++ b/crates/lab/src/live/servers.rs
@@ -181,9 +181,14 @@
         // At an address that all gateways have, it is known by whose client the transaction is.
         let of_client = self.by_client.get().then(|| self.world.ledger().gateway_of(id)).flatten();
         let gateway = of_client.unwrap_or(gateway);
+        let connection = self.world.attempts.gateway_side(stream);
+        for other in self.world.attempts.apart_from(id, &connection) {
+            let server = self.name.clone();
+            self.world.happened(now, Happens::AttemptsApart { id, server, other });
+        }
         let arrival = Arrival { at: now, began, server: self.name.clone(), gateway, id, work };
         let number = self.world.happened(now, Happens::AttemptArrived { arrival });
-        let _out = Out(&self.world, number);
+        let _in_flight = InFlight::begin(&self.world, id, number, connection);
         let key = call
             .key
             .clone()
@@ -278,12 +283,24 @@
     }
 }
 
-/// A trip that is out until its answer is written or its connection ends, however that comes about.
-struct Out<'w>(&'w World, usize);
+/// An attempt that is in flight until its answer is written or its connection ends, however that comes about.
+struct InFlight<'w> {
+    world: &'w World,
+    request: u64,
+    attempt: usize,
+}
+
+impl<'w> InFlight<'w> {
+    fn begin(world: &'w World, request: u64, attempt: usize, connection: Stream) -> Self {
+        world.attempts.begin(request, attempt, connection);
+        InFlight { world, request, attempt }
+    }
+}
 
-impl Drop for Out<'_> {
+impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.0.happens(Happens::AttemptClosed { attempt: self.1 });
+        self.world.attempts.end(self.request, self.attempt);
+        self.world.happens(Happens::AttemptClosed { attempt: self.attempt });
     }
 }
 
--- a/crates/lab/src/live/stream.rs
+++ b/crates/lab/src/live/stream.rs
@@ -1,7 +1,9 @@
 //! One connection of a stand-in.
 
 use std::io::{self, ErrorKind};
+use std::mem;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +12,16 @@
 
 use super::sleep;
 use crate::wire::Scanned;
-use crate::Micros;
+use crate::{Micros, MILLISECOND};
+
+/// How long ago the system received something on a connection, to a millisecond, however late the lab reads it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReceiveTimes {
+    /// The last bytes.
+    pub data: Micros,
+    /// The other side's end; none where it has not come, or was a reset, whose time the system does not keep.
+    pub end: Option<Micros>,
+}
 
 #[derive(Clone)]
 pub struct Stream {
@@ -78,6 +89,16 @@
         }
     }
 
+    /// How long ago the system last received on this connection; none where it does not say.
+    pub fn receive_times(&self) -> Option<ReceiveTimes> {
+        tcp_info(self.io.get_ref()).map(|info| ReceiveTimes::of(&info))
+    }
+
+    /// Where this side is.
+    pub fn local(&self) -> Option<SocketAddr> {
+        self.io.get_ref().local_addr().ok()
+    }
+
     /// Where the other side is.
     pub fn peer(&self) -> Option<SocketAddr> {
         self.io.get_ref().peer_addr().ok()
@@ -92,3 +113,33 @@
         let _ = rustix::net::sockopt::set_socket_linger(&*self.io, Some(Duration::ZERO));
     }
 }
+
+impl ReceiveTimes {
+    fn of(info: &libc::tcp_info) -> Self {
+        let ago = |milliseconds: u32| Micros::from(milliseconds) * MILLISECOND;
+        // The other side's end is an acknowledgement too, and nothing comes behind it.
+        let end = (info.tcpi_state == CLOSE_WAIT).then(|| ago(info.tcpi_last_ack_recv));
+        ReceiveTimes { data: ago(info.tcpi_last_data_recv), end }
+    }
+}
+
+/// The state of a connection that the other side alone has ended, as `TCP_INFO` gives it.
+const CLOSE_WAIT: u8 = 8;
+
+/// What the system knows of a connection, by `TCP_INFO` of tcp(7).
+fn tcp_info(stream: &TcpStream) -> Option<libc::tcp_info> {
+    // SAFETY: all fields are numbers, for which zero is a value.
+    let mut info: libc::tcp_info = unsafe { mem::zeroed() };
+    let mut length = mem::size_of::<libc::tcp_info>() as libc::socklen_t;
+    // SAFETY: the descriptor is open while `stream` is borrowed, and at most `length` bytes are written to `info`.
+    let result = unsafe {
+        libc::getsockopt(
+            stream.as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_INFO,
+            (&raw mut info).cast(),
+            &raw mut length,
+        )
+    };
+    (result == 0).then_some(info)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -141,6 +141,9 @@
     /// Write down all that happened, a line of JSON each, to be judged again
     #[arg(long, value_name = "FILE")]
     history: Option<PathBuf>,
+    /// Have the gateways log each request and attempt, and keep these records in the history
+    #[arg(long)]
+    debug_log: bool,
     /// The gateway's program with its arguments; the `fernscale` beside this program otherwise
     #[arg(long, value_name = "COMMAND")]
     gateway: Option<String>,
@@ -353,6 +356,7 @@
         scenario.fleet.gateways = gateways;
         scenario.check("--gateways", "").map_err(|why| why.to_string())?;
     }
+    scenario.fleet.debug_log |= run.debug_log;
     let program = program(run.gateway)?;
     let options = Options { program, keep: run.keep, history: run.history, live: true };
     let mut left = run.again;
--- a/crates/lab/src/request_ledger.rs
+++ b/crates/lab/src/request_ledger.rs
@@ -140,6 +140,10 @@
     terms: RuleBounds,
     transactions: BTreeMap<u64, Transaction>,
     trips: Vec<Trip>,
+    /// Attempts that were never in flight together with the one that comes next to a server for a request.
+    apart: BTreeMap<(u64, String), Vec<usize>>,
+    /// Attempts that came while another was in flight, and were not so together at their gateway.
+    pub overtaken: u64,
     /// Trips that came; without judging, none of them is kept.
     came: usize,
     judges: bool,
@@ -176,6 +180,8 @@
             terms,
             transactions: BTreeMap::new(),
             trips: Vec::new(),
+            apart: BTreeMap::new(),
+            overtaken: 0,
             came: 0,
             judges: true,
             boxes: BTreeMap::new(),
@@ -471,6 +477,7 @@
         let Some(transaction) = self.transactions.get(&arrival.id) else { return };
         let lane = self.terms.lanes[transaction.ask.class].clone();
         let (id, at) = (arrival.id, arrival.at);
+        let apart = self.apart.remove(&(id, arrival.server.clone())).unwrap_or_default();
         // A link that holds bytes back makes two of what were one after the other.
         let delayed = |trip: &Trip| {
             let links = [
@@ -479,10 +486,15 @@
             ];
             links.iter().any(|link| self.faulty(link, trip.arrived, at))
         };
-        let out = earlier.iter().any(|trip| !self.trips[*trip].over && !delayed(&self.trips[*trip]));
+        let in_flight = |trip: &&usize| !self.trips[**trip].over && !delayed(&self.trips[**trip]);
+        let (overtaken, out): (Vec<&usize>, Vec<&usize>) =
+            earlier.iter().filter(in_flight).partition(|trip| apart.contains(*trip));
+        let out = !out.is_empty();
+        let overtaken = overtaken.len() as u64;
         let ran: Vec<_> =
             earlier.iter().filter(|trip| self.trips[**trip].ran != Some(AttemptEnd::Rejected)).collect();
         let first = ran.first().map(|trip| (self.trips[**trip].box_.clone(), self.trips[**trip].arrived));
+        self.overtaken += overtaken;
         if out {
             self.breaks(
                 1,
@@ -618,6 +630,14 @@
         }
     }
 
+    /// The gateway had ended the connection of this attempt, or of the one that comes next to the server, before it sent the
+    /// other of the two.
+    pub fn attempts_apart(&mut self, id: u64, server: &str, attempt: usize) {
+        if self.judges {
+            self.apart.entry((id, server.into())).or_default().push(attempt);
+        }
+    }
+
     /// What became of a trip at its box, whether or not anybody hears of it.
     pub fn attempt_ended(&mut self, trip: usize, end: AttemptEnd) {
         if let Some(trip) = self.trips.get_mut(trip) {
@@ -736,6 +756,7 @@
                 self.server_started(name, (zone, *cell), *started, *power, *cold);
             }
             Event::AttemptArrived { arrival } => drop(self.arrived(arrival)),
+            Event::AttemptsApart { id, server, other } => self.attempts_apart(*id, server, *other),
             Event::AttemptEnded { attempt: trip, end } => self.attempt_ended(*trip, *end),
             Event::AttemptClosed { attempt: trip } => self.attempt_closed(*trip),
             Event::ServerCollapsed { name } => self.server_collapsed(name, at),
--- a/crates/lab/src/scenario/lower.rs
+++ b/crates/lab/src/scenario/lower.rs
@@ -111,6 +111,7 @@
     /// Whether the gateways need a file of their own beside the platform's: it says what the platform's has no words for.
     pub fn own_file(&self) -> bool {
         self.fleet.mesh
+            || self.fleet.debug_log
             || self.fleet.subsets.is_some()
             || !self.fleet.paces.is_empty()
             || self.faults.iter().any(|fault| fault.when.is_some() || fault.clock.is_some())
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -120,6 +120,9 @@
     /// Gateways tell each other what boxes are like. With several zones they stand in them by turns, as boxes do.
     #[serde(default)]
     pub signals: bool,
+    /// The gateways log each request and attempt, which is kept in the history.
+    #[serde(default)]
+    pub debug_log: bool,
     /// Gateways that are not there at first.
     #[serde(default)]
     pub absent: Vec<u32>,
