SIGTERM is heard behind any series of signals, whatever one call reports

What callers saw: nothing in service.

Cause: a signal was handed on as four bytes by a handler that drops the result of its write. A full socket pair loses it, a short write or read shifts all that follow, and what is handed on waits behind earlier reloads.

Evidence: the test sends 3,000 SIGHUP, 0.1 ms apart, then SIGTERM, to a gateway with 3,000 servers in its configuration.

Change: a flag for each signal, set by the handler, which can't fail; a byte wakes the event loop, and the flags are looked at every 500 ms without one. SIGTERM goes first; several SIGHUP before a reload are one. async-signal gives way to signal-hook. Each signal taken is logged (signal.taken); signal.lost is gone with its cause.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -8,4 +8,5 @@
 mod pools;
 mod process;
 mod records;
+mod signals;
 mod upgrade;
--- a/crates/gateway/src/program/mod.rs
+++ b/crates/gateway/src/program/mod.rs
@@ -11,4 +11,5 @@
 mod reload;
 pub mod run;
 mod shutdown;
+mod signals;
 mod start_error;
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -10,9 +10,7 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use fernscale_policy::Micros;
-use futures_lite::StreamExt;
 use slog::{info, warn, Logger};
 
 use super::config::{Config, Source};
@@ -20,6 +18,7 @@
 use super::listener::Listeners;
 use super::reload::ReloadableAddresses;
 use super::shutdown::shut_down;
+use super::signals::{Signal, Signals};
 use crate::counter::Counter;
 use crate::discovery::{self, DiscoveryActor};
 use crate::dispatcher::Dispatcher;
@@ -64,7 +63,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), StartError> {
     install_clock_fault(config.clock_fault, &log);
-    let mut signals = Signals::new([Signal::Term, Signal::Hup]).map_err(StartError::Signals)?;
+    let mut signals = Signals::install().map_err(StartError::Signals)?;
     let listeners = Listeners::bind(&config)?;
     info!(log, #"gateway.starts", "starts"; "listen" => config.listen.to_string(), "sockets" => config.max_descriptors,
         "memory_mb" => config.memory_mb,
@@ -74,17 +73,18 @@
     let clients = Rc::new(listeners.clients);
     let shares_listener = config.inherited_socket.is_some();
     let mailboxes = start_actors(&shared, config, &clients, listeners.operators)?;
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => match source.read_in_slices().await {
-                Ok(config) => addresses.apply(config, &shared, &mailboxes).await,
-                Err(problems) => {
-                    let problems = problems.join("; ");
-                    warn!(shared.log, #"config.refused", "the new configuration is not used"; "why" => problems);
-                }
-            },
-            Ok(_) => break,
-            Err(error) => warn!(shared.log, #"signal.lost", "a signal was lost"; "why" => error.to_string()),
+    loop {
+        let signal = signals.next().await;
+        info!(shared.log, #"signal.taken", "a signal was taken"; "signal" => signal.name());
+        if signal == Signal::Terminate {
+            break;
+        }
+        match source.read_in_slices().await {
+            Ok(config) => addresses.apply(config, &shared, &mailboxes).await,
+            Err(problems) => {
+                let problems = problems.join("; ");
+                warn!(shared.log, #"config.refused", "the new configuration is not used"; "why" => problems);
+            }
         }
     }
     let own_listener = Some(clients).filter(|_| !shares_listener);
