A test swaps a folder back at once, so that no process makes one in between

The test of a folder that fails for a moment removed a file and then renamed the folder to its place: a process that made the folder between the two made the rename fail (Directory not empty). The two names are now exchanged by one call, renameat2 with RENAME_EXCHANGE; what the test asserts is as it was.

--- a/crates/cli/tests/sockets/upgrade.rs
+++ b/crates/cli/tests/sockets/upgrade.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::fs::{RenameFlags, CWD};
+
 use super::process::*;
 
 /// A process that inherits the clients' listening socket as descriptor 4, as the platform has it.
@@ -266,8 +268,9 @@
     let back = (records.clone(), away.clone());
     let mends = thread::spawn(move || {
         thread::sleep(Duration::from_millis(500));
-        std::fs::remove_file(&back.0).expect("removed");
-        std::fs::rename(&back.1, &back.0).expect("back");
+        // At once: the second process makes the directory as soon as nothing stands in its place.
+        let flags = RenameFlags::EXCHANGE;
+        rustix::fs::renameat_with(CWD, &back.1, CWD, &back.0, flags).expect("back");
     });
     let second = Inherits::start(&listener, directory.path(), &[&server]);
     mends.join().expect("mended");
