--- a/crates/lab/src/fault_schedule.rs
+++ b/crates/lab/src/fault_schedule.rs
@@ -58,8 +58,30 @@
     Ill,
     /// One gateway reaches no box.
     Unreached,
+    /// Signals in series at one gateway, which end it.
+    Series,
+    /// One gateway is replaced beside its running process.
+    Upgrade,
+    /// A server drains.
+    Drain,
+    /// Connections of each gateway that say nothing, and clients that send what makes no sense.
+    Crowd,
+    /// Connections of one gateway to servers are reset in the middle of what passes.
+    Reset,
 }
 
+impl Kind {
+    /// Whether it breaks what gateways say to each other.
+    fn is_between_gateways(self) -> bool {
+        use Kind::{Corrupt, Delay, Double, Lose, OneWay, Overtake, Part, Streams};
+        matches!(self, Part | OneWay | Lose | Delay | Double | Overtake | Corrupt | Streams)
+    }
+}
+
+/// Connections of a crowd to each gateway that say nothing, and clients a second that send what makes no sense.
+const CROWD_SILENT: u32 = 200;
+const CROWD_MISBEHAVING: f64 = 2.0;
+
 /// Times are drawn in steps of this, so that a schedule can be read.
 const STEP: Micros = 100 * MILLISECOND;
 
@@ -79,7 +101,9 @@
         if scenario.fleet.owners.is_none() && disks.iter().any(|kind| self.shares.contains_key(kind)) {
             return Some("no gateway keeps anything in a folder: give the fleet 'owners'".into());
         }
-        (!scenario.fleet.mesh).then(|| "storms break links between gateways: set 'mesh = true'".into())
+        let breaks_links = self.shares.keys().any(|kind| kind.is_between_gateways());
+        (breaks_links && !scenario.fleet.mesh)
+            .then(|| "storms break links between gateways: set 'mesh = true'".into())
     }
 }
 
@@ -165,6 +189,8 @@
         Kind::Pause => fault.gateway = Some(stop(some(chance, third), Stop::Pause)),
         Kind::Kill => fault.gateway = Some(stop(some(chance, third), Stop::Kill)),
         Kind::Restart => fault.gateway = Some(stop(some(chance, third), Stop::Restart)),
+        Kind::Series => fault.gateway = Some(stop(vec![all[0]], Stop::Series)),
+        Kind::Upgrade => fault.gateway = Some(stop(vec![all[0]], Stop::Upgrade)),
         Kind::Leave => fault.gateway = Some(stop(vec![all[0]], Stop::Restart)),
         Kind::Clock => {
             let off = steps(chance, SECOND / 2, 8 * SECOND);
@@ -199,6 +225,17 @@
             let (which, to) = (vec![all[0]], LinkEnd::Boxes);
             fault.link = Some(LinkFault { which, to, how: LinkIll::Cut, amount: 1.0 });
         }
+        Kind::Drain => {
+            let which = vec![chance.gen_range(0..base.fleet.boxes)];
+            fault.boxes = Some(BoxesFault { which, how: BoxIll::Drain, each: Time::default(), amount: 1.0 });
+        }
+        Kind::Crowd => {
+            fault.hostile = Some(HostileFault { a_second: CROWD_MISBEHAVING, silent: CROWD_SILENT });
+        }
+        Kind::Reset => {
+            let (which, to) = (vec![all[0]], LinkEnd::Boxes);
+            fault.link = Some(LinkFault { which, to, how: LinkIll::Reset, amount: 1.0 });
+        }
         Kind::Replace => {
             let which = vec![chance.gen_range(0..base.fleet.boxes)];
             fault.boxes =
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod report;
 pub mod request_ledger;
 pub mod scenario;
+pub mod soak;
 pub mod store_benchmark;
 pub mod subsetting_comparison;
 pub mod virtual_time;
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -32,6 +32,8 @@
     idle: RefCell<Vec<(Stream, Micros)>>,
     /// It has said that it is able to serve, and was not known to have gone since.
     serves: Cell<bool>,
+    /// It was told to end: only connections that stay open are used.
+    retires: Cell<bool>,
     probed: Cell<bool>,
 }
 
@@ -69,6 +71,7 @@
             address: *address,
             idle: RefCell::default(),
             serves: Cell::new(false),
+            retires: Cell::new(false),
             probed: Cell::new(false),
         };
         let lanes = front.classes().len();
@@ -97,6 +100,7 @@
     pub fn leave(self: &Rc<Self>, gateway: u32) {
         let gate = &self.gates[gateway as usize];
         gate.serves.set(false);
+        gate.retires.set(false);
         gate.idle.borrow_mut().clear();
         if gate.probed.replace(true) {
             return;
@@ -112,6 +116,25 @@
         });
     }
 
+    /// Opens no more connections to a gateway, and goes on with those that it leaves open.
+    pub fn retire(&self, gateway: u32) {
+        self.gates[gateway as usize].retires.set(true);
+    }
+
+    /// Whether a request can be sent to a gateway now.
+    fn takes_requests(&self, number: u32) -> bool {
+        let gate = &self.gates[number as usize];
+        if !gate.serves.get() || !gate.retires.get() {
+            return gate.serves.get();
+        }
+        let idle = gate.idle.take().into_iter();
+        let open = idle.filter_map(|(stream, since)| Some((self.still(number, stream, since)?, since)));
+        let open: Vec<_> = open.collect();
+        *gate.idle.borrow_mut() = open;
+        let has_open = !gate.idle.borrow().is_empty();
+        has_open
+    }
+
     async fn ready(&self, gate: &Gate) -> bool {
         let asked = async {
             let mut stream = Stream::dial(gate.address, DIAL).await?;
@@ -204,7 +227,9 @@
         let step = (ask.gateway + gateways - ask.first_gateway) % gateways;
         let set = (0..ask.gateway_spread)
             .map(|more| (ask.first_gateway + (step + more) % ask.gateway_spread) % gateways);
-        let Some(gateway) = set.into_iter().find(|gateway| self.gates[*gateway as usize].serves.get()) else {
+        let set: Vec<u32> = set.collect();
+        let pick = || set.iter().copied().find(|gateway| self.takes_requests(*gateway));
+        let Some(mut gateway) = pick() else {
             return self.unsent(&ask);
         };
         let call = Call {
@@ -267,6 +292,10 @@
                 Got::Closed(false) if used && !written_once && !self.world.ledger().has_attempt(ask.id) => {
                     // The close crossed the command, and nobody read it.
                     written_once = true;
+                    if self.gates[gateway as usize].retires.get() {
+                        let Some(other) = pick() else { return self.unsent(&ask) };
+                        gateway = other;
+                    }
                 }
                 Got::Closed(_) => {
                     self.ended(&ask, None, true);
--- a/crates/lab/src/live/faults.rs
+++ b/crates/lab/src/live/faults.rs
@@ -11,7 +11,7 @@
 
 use super::play::Run;
 use super::route::RouteFault;
-use super::{counter, misbehaving_client, servers, sleep};
+use super::{counter, gateway, misbehaving_client, servers, sleep};
 use crate::history::{Event, LinkTraffic};
 use crate::model::counter::ReplyFault as CounterBad;
 use crate::model::discovery::Status;
@@ -21,6 +21,9 @@
 
 /// From SIGTERM on clients are dealt to a gateway for so long: the front hears of a planned restart a little later.
 const HEARD: Micros = 300 * MILLISECOND;
+/// Signals of a series before SIGTERM, and the time between two of a series.
+const SERIES: usize = 12;
+const BETWEEN_SIGNALS: Micros = 8 * MILLISECOND;
 /// After which a replaced box is gone for good.
 const GONE: Micros = 3 * SECOND;
 
@@ -266,6 +269,11 @@
 
     async fn stop_gateway(&self, number: u32, how: Stop, folder: Folder, for_: Option<Micros>) {
         let gateway = &self.gateways[number as usize];
+        let stays = self.scenario.fleet.clients_stay;
+        let occupied = gateway.occupy();
+        if stays && occupied.is_none() {
+            return;
+        }
         let longest = self.lanes.iter().map(|lane| lane.deadline).max().unwrap_or(0);
         let said = |what: &str, done: io::Result<()>| {
             if let Err(why) = done {
@@ -293,16 +301,27 @@
                     starts().await;
                 }
             }
-            Stop::Restart | Stop::Leave if gateway.runs() => {
+            Stop::Restart | Stop::Leave | Stop::Series if gateway.runs() => {
+                if how == Stop::Series {
+                    for _ in 0..SERIES {
+                        gateway.reload();
+                        sleep(BETWEEN_SIGNALS).await;
+                    }
+                    self.world.spawn(signal_on(self.gateways[number as usize].clone()));
+                }
                 let (world, front) = (self.world.clone(), self.front.clone());
                 let own = world.clone();
                 world.spawn(async move {
                     own.until(own.now() + HEARD).await;
-                    front.leave(number);
+                    if stays {
+                        front.retire(number);
+                    } else {
+                        front.leave(number);
+                    }
                 });
-                gateway.end(longest).await;
+                gateway.end(longest, !stays).await;
                 self.world.happens(Event::Ended { gateway: number });
-                if how == Stop::Restart {
+                if how != Stop::Leave {
                     sleep(for_.unwrap_or(0)).await;
                     starts().await;
                 }
@@ -441,6 +460,15 @@
     }
 }
 
+/// More signals of both kinds while a gateway ends.
+async fn signal_on(gateway: Rc<gateway::Host>) {
+    for _ in 0..SERIES {
+        sleep(BETWEEN_SIGNALS).await;
+        gateway.reload();
+        gateway.terminate_again();
+    }
+}
+
 fn wanted(fault: &LinkFault, link: &Link) -> bool {
     let end = match link {
         Link::Clients(_) => LinkEnd::Clients,
--- a/crates/lab/src/live/gateway.rs
+++ b/crates/lab/src/live/gateway.rs
@@ -77,6 +77,8 @@
     pub started: Cell<Micros>,
     /// It has been told to end.
     ends: Cell<bool>,
+    /// A fault of its processes is played.
+    occupied: Cell<bool>,
     /// Ended without being told to.
     pub crashes: Cell<u32>,
     /// Time on a core of the process of each start, and the most memory of any, in KiB.
@@ -111,6 +113,7 @@
             starts: Cell::new(0),
             started: Cell::new(0),
             ends: Cell::new(false),
+            occupied: Cell::new(false),
             crashes: Cell::new(0),
             cpu: RefCell::default(),
             peak: Cell::new(0),
@@ -344,8 +347,24 @@
         }
     }
 
-    /// Asks it to end, and waits until it has, or for as long as the platform would.
-    pub async fn end(&self, longest: Micros) {
+    /// Has it read its configuration again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Asks it to end once more.
+    pub fn terminate_again(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Takes the gateway for a fault of its processes, so that no two of them are played at once; none where one is.
+    pub fn occupy(&self) -> Option<Occupied<'_>> {
+        (!self.occupied.replace(true)).then_some(Occupied(self))
+    }
+
+    /// Asks it to end, and waits until it has, or for as long as the platform would. What a kill then finds unanswered is
+    /// `excused`, or lost.
+    pub async fn end(&self, longest: Micros, excused: bool) {
         self.ends.set(true);
         self.world.happens(Event::ShutdownRequested { gateway: self.number });
         self.signal(Signal::TERM);
@@ -354,7 +373,7 @@
             self.look();
             sleep(LOOK).await;
         }
-        if self.runs() {
+        if self.runs() && excused {
             self.world.happens(Event::Killed { gateway: self.number });
         }
         self.kill();
@@ -415,6 +434,15 @@
     }
 }
 
+/// The right to play a fault of a gateway's processes.
+pub struct Occupied<'h>(&'h Host);
+
+impl Drop for Occupied<'_> {
+    fn drop(&mut self) {
+        self.0.occupied.set(false);
+    }
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         // One that is paused would not end by any other signal.
--- a/crates/lab/src/live/misbehaving_gateway.rs
+++ b/crates/lab/src/live/misbehaving_gateway.rs
@@ -25,6 +25,8 @@
     Invent,
     /// Each transaction goes to a second box as well.
     Twice,
+    /// Each attempt is followed by a second one while its connection is open.
+    Overlap,
     /// One in twenty that has run is nacked.
     NackRun,
     /// The list is never asked for again.
@@ -137,7 +139,9 @@
             if self.breaks == Break::Left {
                 sleep(SECOND / 2).await;
             }
+            let open = if self.breaks == Break::Overlap { self.begin_attempt(&words).await } else { None };
             let mut answer = self.trip(&words, wait).await;
+            drop(open);
             if self.breaks == Break::Twice {
                 answer = self.trip(&words, wait).await.or(answer);
             }
@@ -161,11 +165,17 @@
         }
     }
 
+    /// Sends an attempt to some server, on a connection of its own.
+    async fn begin_attempt(&self, words: &[Vec<u8>]) -> Option<Stream> {
+        let stream = Stream::dial(self.pick()?, SECOND).await.ok()?;
+        let words: Vec<&[u8]> = words.iter().map(|word| &**word).collect();
+        stream.write(&wire::write_command(&words)).await.ok()?;
+        Some(stream)
+    }
+
     async fn trip(&self, words: &[Vec<u8>], wait: Micros) -> Option<Vec<u8>> {
         let work = async {
-            let mut stream = Stream::dial(self.pick()?, SECOND).await.ok()?;
-            let words: Vec<&[u8]> = words.iter().map(|word| &**word).collect();
-            stream.write(&wire::write_command(&words)).await.ok()?;
+            let mut stream = self.begin_attempt(words).await?;
             match stream.next(wire::value).await.ok()? {
                 Value::Array(Some(items)) => match items.into_iter().next() {
                     Some(Value::Bulk(value)) => value,
--- a/crates/lab/src/live/play.rs
+++ b/crates/lab/src/live/play.rs
@@ -503,7 +503,7 @@
             .gateways
             .iter()
             .cloned()
-            .map(|gateway| self.world.executor.spawn(async move { gateway.end(longest).await }));
+            .map(|gateway| self.world.executor.spawn(async move { gateway.end(longest, true).await }));
         for end in ends.collect::<Vec<_>>() {
             end.await;
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -19,7 +19,7 @@
 use fernscale_lab::model::server::{unshared_memories, Server, SlowStart, Spec};
 use fernscale_lab::scenario::Scenario;
 use fernscale_lab::{
-    fault_schedule, history, lease_simulation, outlier_simulation, quota_simulation, report, scenario,
+    fault_schedule, history, lease_simulation, outlier_simulation, quota_simulation, report, scenario, soak,
     subsetting_comparison, virtual_time, Micros, SECOND,
 };
 
@@ -49,6 +49,8 @@
     },
     /// Play storms of faults that are drawn from a scenario's menu, and make those that fail smaller
     Storm(Storm),
+    /// Play days of faults drawn by seed, each once, and keep the history of those on which a rule breaks
+    Soak(Soak),
     /// Judge a history that was kept, from its file alone
     Judge { history: PathBuf },
     /// Check scenario files without playing them
@@ -121,7 +123,12 @@
         seed: u64,
     },
     /// A gateway that breaks a rule on purpose, to see that the ledger catches it
-    Rogue { breaks: misbehaving_gateway::Break },
+    Rogue {
+        breaks: misbehaving_gateway::Break,
+        /// Not read: gateways are called with it
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
 }
 
 #[derive(Args)]
@@ -201,6 +208,23 @@
     gateway: Option<String>,
 }
 
+#[derive(Args)]
+struct Soak {
+    scenario: PathBuf,
+    /// The first seed, and the last, as in 1..50
+    #[arg(long, default_value = "1..50", value_parser = seeds)]
+    seeds: (u64, u64),
+    /// Where the scenarios and histories of days on which a rule breaks are kept
+    #[arg(long, value_name = "DIR")]
+    folder: PathBuf,
+    /// Days that are played side by side
+    #[arg(long, default_value_t = 2)]
+    side_by_side: usize,
+    /// The gateway's program with its arguments; the `fernscale` beside this program otherwise
+    #[arg(long, value_name = "COMMAND")]
+    gateway: Option<String>,
+}
+
 #[derive(Args)]
 struct Asked {
     /// Where the gateway listens
@@ -275,6 +299,7 @@
         Command::StandIns(asked) => stand_ins(asked),
         Command::Virtual { scenario, gateways, seed } => play_virtually(&scenario, gateways, seed),
         Command::Storm(storm) => play_storms(storm),
+        Command::Soak(soak) => play_soak(soak),
         Command::Explore(asked) => Ok(look(&asked)),
         Command::Judge { history } => judge(&history),
         Command::Check { files } => check(&files),
@@ -330,7 +355,7 @@
                 println!("{report}");
                 ExitCode::SUCCESS
             }),
-        Command::Rogue { breaks } => misbehaving_gateway::run(breaks).map(|()| ExitCode::SUCCESS),
+        Command::Rogue { breaks, .. } => misbehaving_gateway::run(breaks).map(|()| ExitCode::SUCCESS),
     };
     done.unwrap_or_else(|why| {
         eprintln!("fernscale-lab: {why}");
@@ -402,6 +427,28 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::from(NOT_HELD) })
 }
 
+fn play_soak(asked: Soak) -> Result<ExitCode, String> {
+    let base = scenario::read(&asked.scenario).map_err(|why| why.to_string())?;
+    let (first, last) = asked.seeds;
+    let plan = soak::Plan {
+        base,
+        seeds: first..=last,
+        folder: asked.folder,
+        program: program(asked.gateway)?,
+        side_by_side: asked.side_by_side,
+    };
+    let days = soak::play_all(&plan).map_err(|why| why.to_string())?;
+    days.iter().for_each(|day| println!("{day}"));
+    println!("{}", soak::Summary::of(&days));
+    let broken = days.iter().any(|day| !day.broken.is_empty());
+    let void = days.iter().all(|day| day.void.is_some());
+    Ok(match () {
+        () if broken => ExitCode::from(NOT_HELD),
+        () if void => ExitCode::from(VOID),
+        () => ExitCode::SUCCESS,
+    })
+}
+
 /// Plays of a storm that failed once, and how many of them must fail for it to count.
 const AGAIN: u32 = 3;
 const MOST: u32 = 2;
--- a/crates/lab/src/scenario/faults.rs
+++ b/crates/lab/src/scenario/faults.rs
@@ -98,6 +98,8 @@
     Start,
     /// SIGTERM, and it is away from then on.
     Leave,
+    /// SIGHUP again and again, then SIGTERM among more of both, and a start when it has ended.
+    Series,
     /// Another process beside it, on the same addresses; SIGTERM to the old one once the new one serves.
     Upgrade,
     /// Its folder is kept by, as it is now, for `folder = "earlier"`.
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -123,6 +123,10 @@
     /// The gateways log each request and attempt, which is kept in the history.
     #[serde(default)]
     pub debug_log: bool,
+    /// Clients send on the connections that stay open until a gateway that was told to end is killed, which is when the
+    /// longest deadline and 0.7 s are over; what the kill finds unanswered is lost. Without, they leave it before.
+    #[serde(default)]
+    pub clients_stay: bool,
     /// Gateways that are not there at first.
     #[serde(default)]
     pub absent: Vec<u32>,
