The ledger judges attempts together and repetitions in functions of their own

sent_again did two things in 60 lines; each is a function now, the comparison of key memories a third. No verdict differs: the tests of the ledger, of misbehaving gateways, of overtaken attempts and of recorded histories pass.

--- a/crates/lab/src/request_ledger/attempt_rules.rs
+++ b/crates/lab/src/request_ledger/attempt_rules.rs
@@ -15,64 +15,77 @@
 /// A cold box is pushed over by those who knew, if so large a part of the push was theirs.
 const KNOWING: f64 = 2.0 / 3.0;
 
+/// The number of the rule on effects.
+const EFFECTS: usize = 1;
+
 impl RequestLedger {
+    /// Judges an attempt of a request that has had others before.
     pub(super) fn sent_again(&mut self, arrival: &Arrival, earlier: &[usize]) {
-        let Some(transaction) = self.transactions.get(&arrival.id) else { return };
-        let lane = self.terms.lanes[transaction.ask.class].clone();
-        let (id, at) = (arrival.id, arrival.at);
-        let apart = self.apart.remove(&(id, arrival.server.clone())).unwrap_or_default();
-        // A link that holds bytes back makes two of what were one after the other.
-        let delayed = |trip: &Trip| {
-            let links = [
-                Link::Server(arrival.gateway, trip.box_.clone()),
-                Link::Server(arrival.gateway, arrival.server.clone()),
-            ];
-            links.iter().any(|link| self.faulty(link, trip.arrived, at))
+        self.judge_in_flight_together(arrival, earlier);
+        self.judge_repetition(arrival, earlier);
+    }
+
+    /// No two attempts of a request are in flight together.
+    fn judge_in_flight_together(&mut self, arrival: &Arrival, earlier: &[usize]) {
+        let apart = self.apart.remove(&(arrival.id, arrival.server.clone())).unwrap_or_default();
+        let in_flight = |number: &&usize| {
+            let attempt = &self.trips[**number];
+            !attempt.over && !self.is_link_faulty(arrival, attempt)
         };
-        let in_flight = |trip: &&usize| !self.trips[**trip].over && !delayed(&self.trips[**trip]);
-        let (overtaken, out): (Vec<&usize>, Vec<&usize>) =
-            earlier.iter().filter(in_flight).partition(|trip| apart.contains(*trip));
-        let out = !out.is_empty();
-        let overtaken = overtaken.len() as u64;
-        let ran: Vec<_> =
-            earlier.iter().filter(|trip| self.trips[**trip].ran != Some(AttemptEnd::Rejected)).collect();
-        let first = ran.first().map(|trip| (self.trips[**trip].box_.clone(), self.trips[**trip].arrived));
-        self.overtaken += overtaken;
-        if out {
-            self.breaks(
-                1,
-                at,
-                format!("transaction {id:x} has a trip to {} while another is out", arrival.server),
-            );
+        let (overtaken, together): (Vec<&usize>, Vec<&usize>) =
+            earlier.iter().filter(in_flight).partition(|number| apart.contains(*number));
+        let is_broken = !together.is_empty();
+        self.overtaken += overtaken.len() as u64;
+        if is_broken {
+            let what =
+                format!("transaction {:x} has a trip to {} while another is out", arrival.id, arrival.server);
+            self.breaks(EFFECTS, arrival.at, what);
         }
-        let Some((first_box, first_at)) = first else { return };
-        match lane.idempotency {
-            Idempotency::Idempotent => {}
+    }
+
+    /// Whether a link of either attempt was faulty since the earlier one came: one that holds bytes back makes two at once of what
+    /// were one after the other.
+    fn is_link_faulty(&self, arrival: &Arrival, earlier: &Trip) -> bool {
+        let link = |server: &str| Link::Server(arrival.gateway, server.into());
+        let links = [link(&earlier.box_), link(&arrival.server)];
+        links.iter().any(|link| self.faulty(link, earlier.arrived, arrival.at))
+    }
+
+    /// A request is sent again after an attempt that may have run only as its class allows.
+    fn judge_repetition(&mut self, arrival: &Arrival, earlier: &[usize]) {
+        let Some(transaction) = self.transactions.get(&arrival.id) else { return };
+        let class = self.terms.lanes[transaction.ask.class].clone();
+        let may_have_run = |number: &&usize| self.trips[**number].ran != Some(AttemptEnd::Rejected);
+        let Some(first) = earlier.iter().find(may_have_run).map(|number| &self.trips[*number]) else {
+            return;
+        };
+        let (first_server, first_at) = (first.box_.clone(), first.arrived);
+        let (id, at, server) = (arrival.id, arrival.at, &arrival.server);
+        let why = match class.idempotency {
+            Idempotency::Idempotent => return,
             Idempotency::NonIdempotent => {
-                let what = format!(
-                    "transaction {id:x} went to {} after {first_box} may have run it",
-                    arrival.server
-                );
-                self.breaks(1, at, what);
+                let what =
+                    format!("transaction {id:x} went to {server} after {first_server} may have run it");
+                return self.breaks(EFFECTS, at, what);
             }
-            Idempotency::Keyed => {
-                let place = |name: &str| self.boxes.get(name).map(|known| (known.zone.clone(), known.cell));
-                let (one, other) = (place(&first_box), place(&arrival.server));
-                let same = match lane.scope {
-                    KeyScope::All => true,
-                    KeyScope::Zone => one.map(|place| place.0) == other.map(|place| place.0),
-                    KeyScope::Cell => one == other,
-                };
-                let late = at > first_at + lane.retention + self.terms.slack;
-                if !same || late {
-                    let why = if same { "its key is forgotten" } else { "another group" };
-                    let what = format!(
-                        "labelled transaction {id:x} went from {first_box} to {}: {why}",
-                        arrival.server
-                    );
-                    self.breaks(1, at, what);
-                }
+            Idempotency::Keyed if !self.share_keys(class.scope, &first_server, server) => "another group",
+            Idempotency::Keyed if at > first_at + class.retention + self.terms.slack => {
+                "its key is forgotten"
             }
+            Idempotency::Keyed => return,
+        };
+        let what = format!("labelled transaction {id:x} went from {first_server} to {server}: {why}");
+        self.breaks(EFFECTS, at, what);
+    }
+
+    /// Whether two servers remember keys together.
+    fn share_keys(&self, scope: KeyScope, one: &str, other: &str) -> bool {
+        let zone = |name: &str| self.boxes.get(name).map(|known| &known.zone);
+        let cell = |name: &str| self.boxes.get(name).map(|known| (&known.zone, known.cell));
+        match scope {
+            KeyScope::All => true,
+            KeyScope::Zone => zone(one) == zone(other),
+            KeyScope::Cell => cell(one) == cell(other),
         }
     }
 
