The lab plays no two faults of one gateway's processes at once

Cause, the lab's own: an attempt to take a gateway that was taken already made a guard all the same, whose drop gave the gateway free, so that two series of signals overlapped and two processes were started on one address. By the history: two ended and two started for gateway 2, the later start 18 ms before the crash. The guard is made only where the gateway was free.

--- a/crates/lab/src/live/gateway.rs
+++ b/crates/lab/src/live/gateway.rs
@@ -359,7 +359,7 @@
 
     /// Takes the gateway for a fault of its processes, so that no two of them are played at once; none where one is.
     pub fn occupy(&self) -> Option<Occupied<'_>> {
-        (!self.occupied.replace(true)).then_some(Occupied(self))
+        (!self.occupied.replace(true)).then(|| Occupied(self))
     }
 
     /// Asks it to end, and waits until it has, or for as long as the platform would. What a kill then finds unanswered is
