Records say why no server answered a request, and how late this process read its servers

Change: requests that no server answered are counted by reason, with one record a second at the most (requests.unserved, info), which also has the longest time for which a server's answer lay here unread. That time is asked of the system (TCP_INFO: when the connection last received), so that a suspended process is told from a slow server; attempt.ended (debug) has it for its attempt. Delays under 20 ms count as none, as the system notes arrivals in steps of up to 10 ms.

No decision goes by it yet.

--- a/crates/cli/tests/sockets/records.rs
+++ b/crates/cli/tests/sockets/records.rs
@@ -91,3 +91,25 @@
     gateway.client.write(&[call("t1", "read", 1_200), call("t1", "read", 1_200)].concat());
     assert_eq!(gateway.told("t1", "request.refused").1, "id-in-use");
 }
+
+/// Guards against rejections whose reason nobody can tell afterwards, as single requests are recorded at the level debug alone.
+#[test]
+fn requests_that_no_server_answered_are_counted_by_reason_in_one_record_a_second() {
+    let servers = [Server::start(Does::Fail), Server::start(Does::Fail)];
+    let mut gateway = Recorded::start(&[&servers[0], &servers[1]]);
+    for id in ["t1", "t2"] {
+        assert_eq!(gateway.client.ask(&call(id, "pay", 1_200)), "-ERR abandoned");
+    }
+    let began = Instant::now();
+    let record = loop {
+        let records = gateway.records.lock().expect("records").clone();
+        if let Some(record) = records.iter().find(|record| record["event"] == "requests.unserved") {
+            break record.clone();
+        }
+        assert!(began.elapsed() < SOON, "no record");
+        thread::sleep(Duration::from_millis(5));
+    };
+    assert_eq!((&record["level"], &record["requests"]), (&"INFO".into(), &2.into()));
+    assert_eq!(record["reasons"], "not-repeatable=2");
+    assert!(record["within_us"].as_u64().is_some_and(|within| within >= 1_000_000), "{record}");
+}
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -54,6 +54,7 @@
         if let Some(reply) = self.requests.take_reply(id) {
             debug!(self.shared.log, #"request.answered", "given up"; "id" => &**id, "as" => ?answer,
                 "why" => reason.name());
+            self.shared.metrics.unserved.count(reason.name());
             send_answer(reply, answer);
         }
         self.requests.remove_if_completed(id);
@@ -101,6 +102,7 @@
             server,
             end,
             elapsed: 0,
+            read_delay: 0,
         }));
     }
 }
--- a/crates/gateway/src/dispatcher/events.rs
+++ b/crates/gateway/src/dispatcher/events.rs
@@ -59,7 +59,8 @@
     fn request_received(&mut self, received: ReceivedRequest) {
         let ReceivedRequest { call, reply, received_at } = received;
         if self.requests.contains(&call.request.id) {
-            EarlyRejection::IdInUse.record(&self.shared.log, Some(&call.request.id));
+            let unserved = &self.shared.metrics.unserved;
+            EarlyRejection::IdInUse.record(&self.shared.log, unserved, Some(&call.request.id));
             return send_answer(reply, FinalAnswer::Malformed("this id is in use"));
         }
         let mut request = call.request.clone();
@@ -89,10 +90,12 @@
     }
 
     fn attempt_completed(&mut self, completed: CompletedAttempt) {
-        let CompletedAttempt { request: id, attempt, server, end, elapsed } = completed;
+        let CompletedAttempt { request: id, attempt, server, end, elapsed, read_delay } = completed;
         let outcome = outcome::of_attempt(&end);
         debug!(self.shared.log, #"attempt.ended", "an attempt has ended"; "id" => &*id, "attempt" => attempt,
-            "server" => &*server, "outcome" => ?outcome, "how" => ?end.as_ref().err(), "took_us" => elapsed);
+            "server" => &*server, "outcome" => ?outcome, "how" => ?end.as_ref().err(), "took_us" => elapsed,
+            "read_late_us" => read_delay);
+        self.shared.metrics.unserved.observe_read_delay(read_delay);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.end_attempt();
         let class = request.call.request.class;
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -123,6 +123,7 @@
             }
             self.perform_actions().await;
             self.fire_expired_timers().await;
+            self.shared.metrics.unserved.write_if_due(&self.shared.log);
         }
     }
 
--- a/crates/gateway/src/downstream/commands.rs
+++ b/crates/gateway/src/downstream/commands.rs
@@ -70,7 +70,7 @@
         let places = match self.reserve(&call) {
             Ok(places) => places,
             Err(rejection) => {
-                rejection.record(&shared.log, Some(&call.request.id));
+                rejection.record(&shared.log, &shared.metrics.unserved, Some(&call.request.id));
                 let response = FinalAnswer::Rejected(shared.platform.max_retry_after).write();
                 let counted = Counted { class, result: ResponseResult::Rejected };
                 return self.pipeline.push_ready(response, Some(counted));
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -179,8 +179,9 @@
 
     /// Rejects a command that there is no memory to read. Nothing has been done with it, so that the client may retry it.
     fn reject_unread(&mut self) {
-        EarlyRejection::NoMemory.record(&self.context.shared.log, None);
-        let retry_after = self.context.shared.platform.max_retry_after;
+        let shared = &self.context.shared;
+        EarlyRejection::NoMemory.record(&shared.log, &shared.metrics.unserved, None);
+        let retry_after = shared.platform.max_retry_after;
         self.pipeline.push_ready(FinalAnswer::Rejected(retry_after).write(), None);
         self.is_ending = true;
     }
--- a/crates/gateway/src/operator/metrics.rs
+++ b/crates/gateway/src/operator/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::fmt::{Arguments, Write};
 
+use super::unserved::UnservedRequests;
 use crate::protocol::call::FinalAnswer;
 
 /// How a request was answered.
@@ -38,6 +39,8 @@
 pub struct Metrics {
     classes: Box<[ClassCounters]>,
     attempts: Cell<u64>,
+    /// The requests that no server answered, by reason.
+    pub unserved: UnservedRequests,
 }
 
 /// The servers as the dispatcher sees them at one moment.
@@ -53,7 +56,11 @@
     /// With the names of the request classes, in the order of their numbers.
     pub fn new(classes: &[String]) -> Self {
         let counters = |class: &String| ClassCounters { class: class.clone(), responses: Default::default() };
-        Metrics { classes: classes.iter().map(counters).collect(), attempts: Cell::new(0) }
+        Metrics {
+            classes: classes.iter().map(counters).collect(),
+            attempts: Cell::new(0),
+            unserved: UnservedRequests::default(),
+        }
     }
 
     /// Counts a response whose last byte has been written to the client. A class that is not known is not counted.
--- a/crates/gateway/src/operator/mod.rs
+++ b/crates/gateway/src/operator/mod.rs
@@ -5,6 +5,7 @@
 
 mod call_task;
 pub mod metrics;
+pub mod unserved;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
--- a/crates/gateway/src/program/shutdown.rs
+++ b/crates/gateway/src/program/shutdown.rs
@@ -48,6 +48,7 @@
         let is_quiet = !has_clients && (shared.has_successor() || !has_pending_connection(&listener));
         if elapsed >= max_wait || elapsed >= SHUTDOWN_ACCEPT_PERIOD && is_quiet && has_left {
             let open = shared.limits.open.used();
+            shared.metrics.unserved.write(&shared.log);
             info!(shared.log, #"gateway.ended", "has ended"; "open" => open, "took_ms" => micros(elapsed) / (1000 as Micros));
             return;
         }
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -2,6 +2,8 @@
 
 use slog::{debug, Logger};
 
+use crate::operator::unserved::UnservedRequests;
+
 /// The reason of a rejection before the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlyRejection {
@@ -29,8 +31,9 @@
         }
     }
 
-    /// Writes the record of a rejection; without an id where the request could not be read.
-    pub fn record(self, log: &Logger, id: Option<&str>) {
+    /// Counts a rejection and writes its record; without an id where the request could not be read.
+    pub fn record(self, log: &Logger, unserved: &UnservedRequests, id: Option<&str>) {
+        unserved.count(self.name());
         debug!(log, #"request.refused", "not taken"; "id" => id.unwrap_or(""), "why" => self.name());
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -240,6 +240,8 @@
     pub server: Id,
     /// The server's reply and load report, or why there are none.
     pub end: Result<(ServerReply, LoadReport), AttemptFailure>,
-    /// How long the attempt took, in microseconds.
+    /// How long the attempt took until its end was seen here, in microseconds.
     pub elapsed: Micros,
+    /// For how much of that time what had come from the server lay here unread, in microseconds.
+    pub read_delay: Micros,
 }
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -10,6 +10,7 @@
 use futures_lite::{future, ready};
 use rustix::event::{self, PollFd, PollFlags, Timespec};
 
+use super::arrival::{time_since_arrival, MIN_READ_DELAY};
 use super::buffer::Buffer;
 use super::ending::ConnectionEnd;
 use super::limits::Reservation;
@@ -135,6 +136,20 @@
         }
     }
 
+    /// For how long what has just been read, or the establishing of this connection, had waited for this process, of the time
+    /// since it has been waited for. Zero where the system does not say, or hardly any.
+    pub fn read_delay(&self, waited_since: Instant) -> Duration {
+        let waited = waited_since.elapsed();
+        if waited < MIN_READ_DELAY {
+            return Duration::ZERO;
+        }
+        let delay = time_since_arrival(self.stream.get_ref()).unwrap_or_default();
+        if delay < MIN_READ_DELAY {
+            return Duration::ZERO;
+        }
+        delay.min(waited)
+    }
+
     /// Nothing has come that is not in the buffer; false, too, once the other side has closed it.
     pub fn is_open_and_idle(&self) -> bool {
         let looked = uninterrupted(|| self.stream.get_ref().peek(&mut [0]));
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets and what they need: connections, their buffers, how they end, how many there may be.
 
+pub mod arrival;
 pub mod buffer;
 pub mod clock;
 pub mod connection;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -26,6 +26,16 @@
 struct Exchanged<T> {
     reply: T,
     connection: Connection,
+    /// For how long the connection's establishing and the reply had waited for this process.
+    read_delay: Duration,
+}
+
+/// A server's answer to an attempt.
+pub(super) struct ServedAttempt {
+    pub(super) reply: ServerReply,
+    pub(super) load: LoadReport,
+    /// For how long what had come from the server lay here unread.
+    pub(super) read_delay: Duration,
 }
 
 impl Upstream {
@@ -36,18 +46,22 @@
         attempt: usize,
         limit: Micros,
         created_at: Instant,
-    ) -> Result<(ServerReply, LoadReport), AttemptFailure> {
+    ) -> Result<ServedAttempt, AttemptFailure> {
         let until = created_at + Duration::from_micros(limit);
         let command = call.command(limit);
         let scan = |bytes: &[u8], ended: bool| call::came(bytes, ended, self.load_fields());
-        let Exchanged { reply, connection } = self.exchange(&command, until, Some(call), scan).await?;
-        match reply {
+        let Exchanged { reply, connection, read_delay } =
+            self.exchange(&command, until, Some(call), scan).await?;
+        let (reply, load) = match reply {
             Came::Whole(reply) => {
                 self.pool.release(connection);
-                Ok(reply)
+                reply
             }
-            Came::Opens(head) => self.stream_value(head, connection, call.request.id.clone(), attempt).await,
-        }
+            Came::Opens(head) => {
+                self.stream_value(head, connection, call.request.id.clone(), attempt).await?
+            }
+        };
+        Ok(ServedAttempt { reply, load, read_delay })
     }
 
     /// Asks the server whether it is there.
@@ -59,7 +73,7 @@
             Some(_) => Err("no good word"),
             None => Ok(None),
         };
-        let Exchanged { reply, connection } = self.exchange(&command, until, None, scan).await?;
+        let Exchanged { reply, connection, .. } = self.exchange(&command, until, None, scan).await?;
         self.pool.release(connection);
         Ok(reply)
     }
@@ -83,8 +97,10 @@
         call: Option<&Call>,
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<Exchanged<T>, AttemptFailure> {
+        let began_at = Instant::now();
         let checkout = within(until, ConnectionEnd::NeverUp, self.pool.acquire());
         let Checkout { connection, idle_for } = checkout.await.map_err(AttemptFailure::unsent)?;
+        let dial_delay = if idle_for.is_none() { connection.read_delay(began_at) } else { Duration::ZERO };
         // There must be no await between this check and the first byte.
         if let Err(how) = self.check_may_begin(&connection, call) {
             if how == ConnectionEnd::Unwanted {
@@ -94,7 +110,7 @@
         }
         let end = self.exchange_on(connection, command, until, call, scan).await;
         self.pool.adjust_idle_limit(idle_for, &end);
-        end
+        end.map(|exchanged| Exchanged { read_delay: dial_delay + exchanged.read_delay, ..exchanged })
     }
 
     /// Whether the first byte may still be written on this connection. What held when an attempt was created may not hold once
@@ -128,6 +144,7 @@
         call: Option<&Call>,
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<Exchanged<T>, AttemptFailure> {
+        let written_at = Instant::now();
         within(until, ConnectionEnd::Silent, connection.write(command))
             .await
             .map_err(AttemptFailure::unsent)?;
@@ -135,13 +152,14 @@
             self.shared.metrics.attempt_forwarded();
         }
         let received = connection.message(|bytes| scan(bytes, false), until, self.message_timeout()).await;
+        let read_delay = connection.read_delay(written_at);
         match received {
-            Ok(reply) => Ok(Exchanged { reply, connection }),
+            Ok(reply) => Ok(Exchanged { reply, connection, read_delay }),
             Err(how) => match scan(connection.buffer.filled(), true) {
                 // All that matters has come, and the connection can't be used again.
                 Ok(Some((reply, _))) => {
                     connection.spoilt = true;
-                    Ok(Exchanged { reply, connection })
+                    Ok(Exchanged { reply, connection, read_delay })
                 }
                 _ => Err(AttemptFailure::unanswered(how)),
             },
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -137,7 +137,7 @@
     }
 
     async fn run_attempt(self: Rc<Self>, call: Rc<Call>, attempt: usize, limit: Micros, created_at: Instant) {
-        let end = self.forward(&call, attempt, limit, created_at).await;
+        let served = self.forward(&call, attempt, limit, created_at).await;
         let request = call.request.id.clone();
         // Danger: an attempt that were still listed here could be cancelled now, and would be completed twice.
         if let Some(attempt) = self.attempts.borrow_mut().remove(&(request.clone(), attempt)) {
@@ -145,7 +145,9 @@
         }
         let server = self.server.clone();
         let elapsed = micros(created_at.elapsed());
-        let completed = CompletedAttempt { request, attempt, server, end, elapsed };
+        let read_delay = served.as_ref().map_or(0, |served| micros(served.read_delay));
+        let end = served.map(|served| (served.reply, served.load));
+        let completed = CompletedAttempt { request, attempt, server, end, elapsed, read_delay };
         drop(self.events.send(Event::AttemptCompleted(completed)).await);
     }
 
@@ -160,6 +162,7 @@
             server: self.server.clone(),
             end: Err(AttemptFailure::unsent(ConnectionEnd::GivenUp)),
             elapsed: micros(created_at.elapsed()),
+            read_delay: 0,
         };
         // Danger: the dispatcher waits for this actor's mailbox at times, so this actor must never wait for the dispatcher's.
         let events = self.events.clone();
