A gateway's own standstill is not taken for slow servers

Cause: an attempt's time ended when this process got round to the answer, so that its own standstill counted as its servers' latency. Up to eight such answers in one instant raised the fleet's latency ratio to 2.7 to 6; FleetLimit::utilization brought the sum of limits from 12 to 3 or 4 attempts, and what waited beyond two was rejected (queue-full).

Change: an attempt's time begins when its task does, and the engine is given for how much of it the answer lay unread, as the system notes its arrival. Of the times that are possible the one next to the usual latency counts (latency::service_time), for limits, usual latencies, pauses and inconclusive cancellations alike; outlier detection takes the answer, and no latency. Why it works: what the server took stays in, also where both were late; a test has the limits fall as before where servers are slow.

The test's fixtures name the new field.

--- a/crates/gateway/src/dispatcher/events.rs
+++ b/crates/gateway/src/dispatcher/events.rs
@@ -99,7 +99,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.end_attempt();
         let class = request.call.request.class;
-        let observed = outcome::observed_result(elapsed, &end);
+        let observed = outcome::observed_result(elapsed, read_delay, &end);
         let (units, load) = match end {
             Ok((reply, load)) => (self.deliver(&id, reply), load),
             Err(_) => (None, LoadReport::default()),
@@ -114,6 +114,7 @@
             server,
             outcome,
             elapsed,
+            read_delay,
             is_final,
             units,
             load,
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -73,13 +73,15 @@
 }
 
 /// What an attempt that took so long tells outlier detection of its server: nothing where its end is not the server's doing, or may
-/// come from overload.
+/// come from overload; and nothing of its latency where the answer lay here unread for some of that time.
 pub fn observed_result<T>(
     elapsed: Micros,
+    read_delay: Micros,
     end: &Result<(ServerReply, T), AttemptFailure>,
 ) -> Option<AttemptResult> {
     match (of_attempt(end), end) {
         (Outcome::Ok, Ok((ServerReply::Streamed { .. }, _))) => Some(AttemptResult::Forwarded),
+        (Outcome::Ok, _) if read_delay > 0 => Some(AttemptResult::Forwarded),
         (Outcome::Ok, _) => Some(AttemptResult::Answered(elapsed)),
         (Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::NotConnected, _) => {
             Some(AttemptResult::Failed)
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -137,6 +137,8 @@
     }
 
     async fn run_attempt(self: Rc<Self>, call: Rc<Call>, attempt: usize, limit: Micros, created_at: Instant) {
+        // What the order waited for this process is not the server's time.
+        let began_at = Instant::now();
         let served = self.forward(&call, attempt, limit, created_at).await;
         let request = call.request.id.clone();
         // Danger: an attempt that were still listed here could be cancelled now, and would be completed twice.
@@ -144,7 +146,7 @@
             attempt.task.detach();
         }
         let server = self.server.clone();
-        let elapsed = micros(created_at.elapsed());
+        let elapsed = micros(began_at.elapsed());
         let read_delay = served.as_ref().map_or(0, |served| micros(served.read_delay));
         let end = served.map(|served| (served.reply, served.load));
         let completed = CompletedAttempt { request, attempt, server, end, elapsed, read_delay };
--- a/crates/lab/src/quota_simulation.rs
+++ b/crates/lab/src/quota_simulation.rs
@@ -320,6 +320,7 @@
                     server,
                     outcome: Outcome::Ok,
                     elapsed: TRIP,
+                    read_delay: 0,
                     is_final: true,
                     units: None,
                     load: LoadReport::default(),
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -6,6 +6,7 @@
 use crate::event::{AttemptCompleted, Id, Micros, Outcome};
 use crate::host::Host;
 use crate::in_flight::Attempt;
+use crate::latency::service_time;
 use crate::outlier;
 use crate::queue::{max_wait, QueueRank};
 use crate::rejection::RejectReason;
@@ -123,23 +124,24 @@
 
     /// Takes in what the end of an attempt tells of its server and of the fleet.
     pub(super) fn learn_from_attempt(&mut self, end: &AttemptCompleted, class: usize, now: Micros) {
-        let elapsed = end.elapsed as f64;
+        let usual_latency = self.latencies.usual(class);
+        let service_time = service_time(end.elapsed, end.read_delay, usual_latency);
         let limit = self.utilization().limit;
-        self.fleet_limit.pause(elapsed, limit, now);
+        self.fleet_limit.pause(service_time, limit, now);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
         let succeeded = end.outcome == Outcome::Ok;
-        if outlier::is_conclusive(end.outcome, elapsed, self.latencies.usual(class)) {
+        if outlier::is_conclusive(end.outcome, service_time, usual_latency) {
             self.servers.record_outcome(&end.server, !succeeded, now);
         }
         if !succeeded {
             return;
         }
         let objective = self.settings.classes[class].latency_objective;
-        let latency = self.latencies.record(class, objective, elapsed);
-        self.fleet_limit.record(elapsed, latency);
+        let latency = self.latencies.record(class, objective, service_time);
+        self.fleet_limit.record(service_time, latency);
         if let Some(server) = self.servers.get_mut(&end.server) {
-            server.limit.record(elapsed, latency, server.in_flight, self.fleet_limit.min_limit());
+            server.limit.record(service_time, latency, server.in_flight, self.fleet_limit.min_limit());
         }
     }
 
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -83,8 +83,10 @@
     pub server: Id,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time from sending to the end.
+    /// Time from sending to the end, as this gateway saw it.
     pub elapsed: Micros,
+    /// For how much of that time the answer lay here before this gateway read it; 0 where that is not known.
+    pub read_delay: Micros,
     /// The request has its final answer, by this attempt or before it.
     pub is_final: bool,
     /// The units that replace the request's estimate.
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -14,6 +14,16 @@
 /// take an overloaded fleet for an idle one.
 const IDLE_LATENCY_RISE: f64 = 0.002;
 
+/// The time that a server took, in microseconds, by the time that this gateway saw and for how much of it the answer lay unread.
+///
+/// Danger: a gateway that stood still would take its servers for slow. How long an answer lay unread is known less exactly than
+/// the rest, so that of the times that are possible the one next to the usual latency counts.
+pub fn service_time(elapsed: Micros, read_delay: Micros, usual_latency: f64) -> f64 {
+    let longest = elapsed as f64;
+    let shortest = elapsed.saturating_sub(read_delay) as f64;
+    usual_latency.clamp(shortest, longest)
+}
+
 /// Latencies of one class in microseconds.
 #[derive(Clone, Copy)]
 pub struct ClassLatency {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -192,12 +192,26 @@
     }
 
     pub fn end(&mut self, request_id: &Id, attempt: usize, server: &Id, outcome: Outcome, took: Micros) {
+        self.end_read_late(request_id, attempt, server, outcome, took, 0);
+    }
+
+    /// The same for an attempt whose answer lay unread for the last part of its time.
+    pub fn end_read_late(
+        &mut self,
+        request_id: &Id,
+        attempt: usize,
+        server: &Id,
+        outcome: Outcome,
+        took: Micros,
+        read_delay: Micros,
+    ) {
         self.gateway.attempt_completed(AttemptCompleted {
             request: request_id.clone(),
             attempt,
             server: server.clone(),
             outcome,
             elapsed: took,
+            read_delay,
             is_final: outcome == Outcome::Ok,
             units: None,
             load: LoadReport::default(),
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -329,6 +329,7 @@
             server,
             outcome,
             elapsed: took,
+            read_delay: 0,
             is_final: finished,
             units,
             load,
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -184,3 +184,39 @@
     }
     assert!(last > 12, "{last} sent in the last second, forty asked");
 }
+
+/// How many of the requests that come at once find a slot after a round of answers that took so long here, of which the last part
+/// lay unread.
+fn admitted_after(took: Micros, read_delay: Micros) -> usize {
+    let mut fixture = Fixture::new(settings(Idempotency::Idempotent, wide()), 4);
+    let mut round = |took: Micros, read_delay: Micros| {
+        (0..8).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+        let sent = sends(&fixture.take_actions());
+        for (id, server) in &sent {
+            fixture.end_read_late(id, 0, server, Outcome::Ok, took, read_delay);
+        }
+        // What had to wait goes now.
+        complete_all(&mut fixture, |_| took - read_delay);
+        fixture.pass(100 * MS);
+        sent.len()
+    };
+    for _ in 0..40 {
+        round(100 * MS, 0);
+    }
+    round(took, read_delay);
+    round(100 * MS, 0)
+}
+
+/// Guards against a gateway's own standstill being taken for slow servers, and against slow servers being taken for a standstill.
+#[test]
+fn only_the_time_of_servers_lowers_their_limits() {
+    assert_eq!(admitted_after(100 * MS, 0), 8);
+    assert_eq!(admitted_after(1_000 * MS, 900 * MS), 8, "the gateway alone was late");
+    let slow = admitted_after(1_000 * MS, 0);
+    assert!(slow < 8, "{slow} where all servers were slow");
+    assert_eq!(
+        admitted_after(1_900 * MS, 900 * MS),
+        slow,
+        "the servers were as slow while the gateway was late too"
+    );
+}
--- a/crates/simulator-adapter/src/protocol.rs
+++ b/crates/simulator-adapter/src/protocol.rs
@@ -102,6 +102,7 @@
             server: self.id(field::SERVER)?,
             outcome: self.outcome()?,
             elapsed: self.time_or(field::ELAPSED, 0)?,
+            read_delay: 0,
             is_final: self.flag(field::IS_FINAL)?,
             units: self.maybe(field::ACTUAL_UNITS)?.filter(|units| *units > 0.0),
             load: self.load(load_fields)?,
