The lab stalls gateways for 0.1 to 0.9 s; an idle fleet may reject nothing for that

Need: a gateway process that got no processor for a part of a second takes its own standstill for slow servers and rejects requests within quota that idle servers could answer (queue-full). The soak did not find this, as it judges rules only, and none of them is broken by it.

A fault `standstill` for the misbehaving gateway, which rejects everything for 0.3 s after its own standstill.

--- a/crates/lab/src/fault_schedule.rs
+++ b/crates/lab/src/fault_schedule.rs
@@ -17,7 +17,7 @@
 pub struct FaultDistribution {
     /// Faults of one storm.
     pub faults: u32,
-    /// The longest of them; the shortest lasts a twentieth of it.
+    /// The longest of them, apart from stalls; the shortest lasts a twentieth of it.
     pub longest: Time,
     /// How often each kind is drawn, beside the others.
     pub shares: BTreeMap<Kind, f64>,
@@ -39,6 +39,8 @@
     /// Streams of some are cut.
     Streams,
     Pause,
+    /// Some get no processor for 0.1 to 0.9 s, as on a busy machine.
+    Stall,
     Kill,
     Restart,
     /// One is away for a while, by its operators' will.
@@ -85,6 +87,11 @@
 /// Times are drawn in steps of this, so that a schedule can be read.
 const STEP: Micros = 100 * MILLISECOND;
 
+/// The shortest and the longest stall, and the steps that its times are drawn in.
+const STALL_SHORTEST: Micros = 100 * MILLISECOND;
+const STALL_LONGEST: Micros = 900 * MILLISECOND;
+const STALL_STEP: Micros = 10 * MILLISECOND;
+
 impl FaultDistribution {
     pub fn wrong(&self, scenario: &Scenario) -> Option<String> {
         let sum: f64 = self.shares.values().sum();
@@ -94,6 +101,12 @@
         if self.longest.0 < STEP || scenario.settle_in.0 + self.longest.0 >= scenario.lasts.0 {
             return Some("the longest fault must end before the run does: make 'lasts' longer".into());
         }
+        let stalls = self.shares.contains_key(&Kind::Stall);
+        if stalls && scenario.settle_in.0 + STALL_LONGEST >= scenario.lasts.0 {
+            return Some(
+                "the longest stall, 900 ms, must end before the run does: make 'lasts' longer".into(),
+            );
+        }
         if self.shares.contains_key(&Kind::Counter) && scenario.counter.is_none() {
             return Some("there is no counter that could be silent".into());
         }
@@ -123,7 +136,11 @@
 }
 
 fn steps(chance: &mut ChaCha8Rng, from: Micros, to: Micros) -> Time {
-    Time(chance.gen_range(from / STEP..=(to / STEP).max(from / STEP)) * STEP)
+    in_steps_of(STEP, chance, from, to)
+}
+
+fn in_steps_of(step: Micros, chance: &mut ChaCha8Rng, from: Micros, to: Micros) -> Time {
+    Time(chance.gen_range(from / step..=(to / step).max(from / step)) * step)
 }
 
 fn one(base: &Scenario, menu: &FaultDistribution, kind: Kind, chance: &mut ChaCha8Rng) -> Fault {
@@ -187,6 +204,12 @@
                 Some(BetweenFault { goods: Some(crate::history::LinkTraffic::Streams), both: true, ..cut });
         }
         Kind::Pause => fault.gateway = Some(stop(some(chance, third), Stop::Pause)),
+        Kind::Stall => {
+            let lasts = in_steps_of(STALL_STEP, chance, STALL_SHORTEST, STALL_LONGEST);
+            fault.at = in_steps_of(STALL_STEP, chance, base.settle_in.0, base.lasts.0 - lasts.0);
+            fault.for_ = Some(lasts);
+            fault.gateway = Some(stop(some(chance, count), Stop::Pause));
+        }
         Kind::Kill => fault.gateway = Some(stop(some(chance, third), Stop::Kill)),
         Kind::Restart => fault.gateway = Some(stop(some(chance, third), Stop::Restart)),
         Kind::Series => fault.gateway = Some(stop(vec![all[0]], Stop::Series)),
--- a/crates/lab/src/live/misbehaving_gateway.rs
+++ b/crates/lab/src/live/misbehaving_gateway.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use rand::{Rng, SeedableRng};
@@ -41,16 +42,27 @@
     Watch,
     /// Each transaction is sent on half a second after it came, whoever still waits for it.
     Left,
+    /// For a while after the process has stood still all is rejected, as though servers had been slow.
+    Standstill,
 }
 
 /// Every so many transactions one is treated ill.
 const ONE_IN: u64 = 20;
 
+const REJECTION: &[u8] = b"-BUSY 10\r\n";
+
+/// How often it looks whether its process has stood still, and what the time between two looks says so.
+const LOOK: Micros = 20 * MILLISECOND;
+const STOOD: Micros = 80 * MILLISECOND;
+/// For how long all is rejected after a standstill.
+const REJECTS: Duration = Duration::from_millis(300);
+
 struct Rogue {
     breaks: Break,
     boxes: RefCell<Vec<(String, SocketAddr, u64)>>,
     chance: RefCell<ChaCha8Rng>,
     count: Cell<u64>,
+    rejects_until: Cell<Option<Instant>>,
 }
 
 /// Runs it by the configuration that the environment names.
@@ -71,7 +83,11 @@
         boxes: RefCell::default(),
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(1)),
         count: Cell::new(0),
+        rejects_until: Cell::new(None),
     });
+    if breaks == Break::Standstill {
+        executor.spawn(rogue.clone().notice_standstills()).detach();
+    }
     async_io::block_on(executor.run(async {
         let own = rogue.clone();
         let serve = move |stream| own.clone().client(stream);
@@ -82,6 +98,21 @@
 }
 
 impl Rogue {
+    async fn notice_standstills(self: Rc<Self>) {
+        loop {
+            let before = Instant::now();
+            sleep(LOOK).await;
+            let now = Instant::now();
+            if now - before > Duration::from_micros(STOOD) {
+                self.rejects_until.set(Some(now + REJECTS));
+            }
+        }
+    }
+
+    fn rejects(&self) -> bool {
+        self.rejects_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
     async fn follow(&self, discovery: SocketAddr) {
         loop {
             if let Ok(list) = whole_list(discovery).await {
@@ -136,6 +167,12 @@
             self.count.set(count);
             let ill = count.is_multiple_of(ONE_IN);
             let wait = (call.wait_ms * MILLISECOND as f64) as Micros;
+            if self.rejects() {
+                if stream.write(REJECTION).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if self.breaks == Break::Left {
                 sleep(SECOND / 2).await;
             }
@@ -148,7 +185,7 @@
             let bytes = match (self.breaks, answer) {
                 (Break::Lose, _) if ill => return,
                 (Break::Invent, _) if ill => b"$8\r\ninvented\r\n".to_vec(),
-                (Break::NackRun, _) if ill => b"-BUSY 10\r\n".to_vec(),
+                (Break::NackRun, _) if ill => REJECTION.to_vec(),
                 (_, Some(value)) => {
                     let mut bytes = Vec::new();
                     wire::bulk(&mut bytes, &value);
--- a/crates/lab/tests/fault_schedules.rs
+++ b/crates/lab/tests/fault_schedules.rs
@@ -1,9 +1,9 @@
 //! Storms and the faults of a fleet: what is drawn can be read, what fails is made smaller, what makes no sense is refused.
 
 use fernscale_lab::fault_schedule::{draw, least};
-use fernscale_lab::scenario::{parse, Scenario, Time};
+use fernscale_lab::scenario::{parse, Scenario, Stop, Time};
 use fernscale_lab::virtual_time;
-use fernscale_lab::SECOND;
+use fernscale_lab::{MILLISECOND, SECOND};
 
 const BASE: &str = r#"
 name = "base"
@@ -85,6 +85,39 @@
     assert_eq!(kinds.len(), 7, "{kinds:?}");
 }
 
+/// Guards against stalls of other lengths than a busy machine's, and against ones that always begin with other faults.
+#[test]
+fn stalls_are_drawn_within_their_bounds_in_steps_of_their_own() {
+    let base = scenario("[storm]\nfaults = 12\nlongest = \"8s\"\n[storm.shares]\nstall = 1\n");
+    let menu = base.storm.clone().expect("a menu");
+    let (mut lengths, mut between_other_times) = (std::collections::BTreeSet::new(), 0);
+    for seed in 0..200 {
+        let storm = draw(&base, &menu, seed);
+        let text = toml::to_string(&storm).expect("written");
+        let read = parse("storm", &text).expect("it can be played");
+        assert_eq!(toml::to_string(&read).expect("written"), text, "seed {seed}");
+        assert_eq!(toml::to_string(&draw(&base, &menu, seed)).expect("written"), text, "seed {seed}");
+        for fault in &storm.faults {
+            let (gateway, lasts) = (fault.gateway.as_ref().expect("gateways"), fault.for_.expect("an end").0);
+            assert!(gateway.how == Stop::Pause && !gateway.which.is_empty(), "seed {seed}: {fault:?}");
+            assert!((100 * MILLISECOND..=900 * MILLISECOND).contains(&lasts), "seed {seed}: {fault:?}");
+            assert!(
+                fault.at >= Time(2 * SECOND) && fault.at.0 + lasts <= 30 * SECOND,
+                "seed {seed}: {fault:?}"
+            );
+            lengths.insert(lasts);
+            between_other_times += u32::from(!fault.at.0.is_multiple_of(100 * MILLISECOND));
+        }
+    }
+    let (first, last) = (lengths.first().copied(), lengths.last().copied());
+    assert_eq!((first, last), (Some(100 * MILLISECOND), Some(900 * MILLISECOND)));
+    assert_eq!(lengths.len(), 81, "{lengths:?}");
+    assert!(between_other_times > 2000, "{between_other_times} of 2400");
+    let short = BASE.replace("30s", "2500ms");
+    let text = format!("{short}[storm]\nfaults = 1\nlongest = \"100ms\"\n[storm.shares]\nstall = 1\n");
+    assert!(parse("here", &text).expect_err("too short").to_string().contains("the longest stall"));
+}
+
 #[test]
 fn what_fails_is_made_smaller_while_it_still_does() {
     let base = scenario(MENU);
