Answers that end in one moment count as one sample of latency

Callers saw -BUSY 500 (queue-full) with 1.2 s left, for 0.1 s after all servers had stood still for 0.15 s: the second way to the failure of upgrades_under_load_lose_no_request, where the servers are threads of a test that has no processor either.

Cause: a moment that holds up eight attempts ends as eight late answers within a millisecond, and each moved the means of the fleet and of its server by a tenth. Of eight clients' next requests up to three were rejected, by servers that answered in 20 ms again.

Change: samples within 10 ms make up one observation, their mean, in the fleet's ratio and in each server's.

--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -317,3 +317,20 @@
     });
     assert_eq!(refusals, 0);
 }
+
+/// Guards against one moment in which all servers stand still counting as a long time of slow answers, one for each attempt that
+/// it held up: requests were rejected that idle servers could have answered.
+#[test]
+fn a_moment_in_which_all_servers_stand_still_costs_no_request_its_answer() {
+    for standstill in [150, 300].map(Duration::from_millis) {
+        let servers = Servers::start(SERVERS);
+        let refusals = Gateway::run(&servers, async |gateway| {
+            let before = gateway.rounds(ROUNDS_BEFORE).await;
+            servers.service_time_ms.store(standstill.as_millis() as u64, Ordering::SeqCst);
+            let during = gateway.rounds(1).await;
+            servers.service_time_ms.store(SERVICE_TIME.as_millis() as u64, Ordering::SeqCst);
+            [before, during, gateway.rounds(10).await]
+        });
+        assert_eq!(refusals, [0, 0, 0], "servers that stood still for {standstill:?}");
+    }
+}
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -22,6 +22,9 @@
 /// A response counts as at most so slow. Danger: one huge request would pass for a slow server.
 const MAX_LATENCY_RATIO: f64 = 10.0;
 
+/// Responses that end within this time, in microseconds, tell of one moment.
+const MOMENT: Micros = 10_000;
+
 /// The longest pause of a gateway whose limits add up to less than one attempt, in microseconds.
 const MAX_SLOT_PAUSE: f64 = SECOND as f64;
 
@@ -34,20 +37,55 @@
     pub limit: f64,
 }
 
+/// A mean that follows observations, in which samples of one moment make up one observation.
+///
+/// Danger: one short standstill ends all attempts in flight at once, and would count as a long time of slow answers.
+struct MomentMean {
+    mean: f64,
+    /// The mean before this moment.
+    before: f64,
+    /// When this moment began.
+    began_at: Micros,
+    /// The samples of this moment: their sum and number.
+    sum: f64,
+    count: f64,
+}
+
+impl MomentMean {
+    fn new(mean: f64) -> Self {
+        MomentMean { mean, before: mean, began_at: 0, sum: 0.0, count: 0.0 }
+    }
+
+    fn record(&mut self, weight: f64, sample: f64, now: Micros) {
+        if now >= self.began_at + MOMENT {
+            *self = MomentMean { began_at: now, ..MomentMean::new(self.mean) };
+        }
+        self.sum += sample;
+        self.count += 1.0;
+        self.mean = self.before;
+        update_mean(&mut self.mean, weight, self.sum / self.count);
+    }
+}
+
 /// The limit of one server, from this gateway. It may be a fraction of one attempt.
-#[derive(Default)]
 pub struct ServerLimit {
     limit: f64,
     /// Latency as a ratio to the class on an idle fleet.
-    latency_ratio: f64,
+    latency_ratio: MomentMean,
     /// Latency as a ratio to the class on this fleet now.
     relative_latency: f64,
 }
 
+impl Default for ServerLimit {
+    fn default() -> Self {
+        ServerLimit { limit: 0.0, latency_ratio: MomentMean::new(0.0), relative_latency: 0.0 }
+    }
+}
+
 impl ServerLimit {
     /// The limit of a server that has just started: not set yet, with the latency of any other.
     pub fn unset() -> Self {
-        ServerLimit { limit: 0.0, latency_ratio: 1.0, relative_latency: 1.0 }
+        ServerLimit { limit: 0.0, latency_ratio: MomentMean::new(1.0), relative_latency: 1.0 }
     }
 
     /// Whether the limit has yet to be set.
@@ -76,10 +114,11 @@
     /// Takes in one response, after which so many attempts are in flight at the server.
     ///
     /// A slow machine is not an overloaded one: the server is compared with its own speed.
-    pub fn record(&mut self, elapsed: f64, class: ClassLatency, in_flight: u32, min_limit: f64) {
-        update_mean(&mut self.latency_ratio, FAST_MEAN_WEIGHT, bounded_ratio(elapsed, class.idle));
+    pub fn record(&mut self, elapsed: f64, class: ClassLatency, in_flight: u32, min_limit: f64, now: Micros) {
+        self.latency_ratio.record(FAST_MEAN_WEIGHT, bounded_ratio(elapsed, class.idle), now);
         update_mean(&mut self.relative_latency, SLOW_MEAN_WEIGHT, bounded_ratio(elapsed, class.usual));
-        let change = (1.0 - self.latency_ratio / self.relative_latency / MAX_GROWTH_LATENCY_RATIO).max(-1.0);
+        let change =
+            (1.0 - self.latency_ratio.mean / self.relative_latency / MAX_GROWTH_LATENCY_RATIO).max(-1.0);
         // A limit that is not used up must not grow.
         if change < 0.0 || f64::from(in_flight) + 2.0 > self.limit {
             self.limit = (self.limit + change * min_limit / self.limit).max(min_limit);
@@ -91,14 +130,19 @@
 pub struct FleetLimit {
     gateways_per_server: f64,
     min_limit: f64,
-    latency_ratio: f64,
+    latency_ratio: MomentMean,
     next_slot_at: Micros,
 }
 
 impl FleetLimit {
     /// The state before anything is known.
     pub fn new(now: Micros) -> Self {
-        FleetLimit { gateways_per_server: 1.0, min_limit: 1.0, latency_ratio: 1.0, next_slot_at: now }
+        FleetLimit {
+            gateways_per_server: 1.0,
+            min_limit: 1.0,
+            latency_ratio: MomentMean::new(1.0),
+            next_slot_at: now,
+        }
     }
 
     /// How many gateways use a server.
@@ -136,13 +180,13 @@
             limits += limit;
         }
         let floor = count as f64 * self.min_limit;
-        let limit = (limits * (SLOW_FLEET_LATENCY_RATIO / self.latency_ratio).min(1.0)).max(floor);
+        let limit = (limits * (SLOW_FLEET_LATENCY_RATIO / self.latency_ratio.mean).min(1.0)).max(floor);
         Utilization { in_flight, limit }
     }
 
     /// Takes in the latency of one response.
-    pub fn record(&mut self, elapsed: f64, class: ClassLatency) {
-        update_mean(&mut self.latency_ratio, FAST_MEAN_WEIGHT, bounded_ratio(elapsed, class.idle));
+    pub fn record(&mut self, elapsed: f64, class: ClassLatency, now: Micros) {
+        self.latency_ratio.record(FAST_MEAN_WEIGHT, bounded_ratio(elapsed, class.idle), now);
     }
 
     /// Pauses after an attempt where the limit is below one, so that the one slot is used for that part of the time.
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -139,9 +139,9 @@
         }
         let objective = self.settings.classes[class].latency_objective;
         let latency = self.latencies.record(class, objective, service_time);
-        self.fleet_limit.record(service_time, latency);
+        self.fleet_limit.record(service_time, latency, now);
         if let Some(server) = self.servers.get_mut(&end.server) {
-            server.limit.record(service_time, latency, server.in_flight, self.fleet_limit.min_limit());
+            server.limit.record(service_time, latency, server.in_flight, self.fleet_limit.min_limit(), now);
         }
     }
 
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -220,3 +220,22 @@
         "the servers were as slow while the gateway was late too"
     );
 }
+
+/// Guards against limits that no longer fall where servers stay slow.
+#[test]
+fn ten_slow_answers_one_after_the_other_bring_the_limits_to_their_least() {
+    let mut fixture = Fixture::new(settings(Idempotency::Idempotent, wide()), 4);
+    for _ in 0..40 {
+        (0..8).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+        complete_all(&mut fixture, |_| 100 * MS);
+        fixture.pass(100 * MS);
+    }
+    for _ in 0..10 {
+        fixture.request("c", 2_000 * MS);
+        complete_all(&mut fixture, |_| 1_000 * MS);
+        fixture.pass(20 * MS);
+    }
+    (0..8).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+    // One attempt for each of four servers.
+    assert_eq!(sends(&fixture.take_actions()).len(), 4);
+}
