The queue holds what idle servers can serve within the longest wait

Callers saw -BUSY 500 (queue-full) on an idle fleet: what gathers while a gateway stands still comes at once, and beyond half of the limits, two at the least, each request was rejected with seconds left.

Cause: the bound of the queue was a number, whatever time its requests have and however fast servers are.

Change: beyond that number a request is rejected only if those that wait would keep the limits used up for longer than it may wait, by their usual latencies and by how much slower than idle the servers are now. Where servers are overloaded that is the old bound.

--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -184,6 +184,11 @@
         Utilization { in_flight, limit }
     }
 
+    /// How slow all servers are now, as a ratio to the idle fleet's latency; 1 at the least.
+    pub fn slowdown(&self) -> f64 {
+        self.latency_ratio.mean.max(1.0)
+    }
+
     /// Takes in the latency of one response.
     pub fn record(&mut self, elapsed: f64, class: ClassLatency, now: Micros) {
         self.latency_ratio.record(FAST_MEAN_WEIGHT, bounded_ratio(elapsed, class.idle), now);
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -40,12 +40,13 @@
         let rank = QueueRank::new(id, plan, class, usual_latency, now);
         in_flight.rank = Some(rank.clone());
         in_flight.within_quota = Some(within_quota);
-        self.queue.insert(rank);
+        self.queue.insert(rank, class, usual_latency);
         let expires_at = in_flight.expires_at.min(now + max_wait(class));
         self.expirations.reschedule(&mut in_flight.expires_at, expires_at, id);
         tenant.reserve(request.units, within_quota);
         self.forward_queued(now);
-        if let Some(excess) = self.queue.pop_excess(utilization.limit) {
+        let slowdown = self.fleet_limit.slowdown();
+        if let Some(excess) = self.queue.pop_excess(utilization.limit, slowdown) {
             self.give_up(&excess, RejectReason::QueueFull);
         }
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,12 +1,12 @@
 //! The requests that wait for a server, by priority; who may wait at all is decided in `admission`.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::event::{Id, Micros};
 use crate::settings::{Plan, RequestClass};
 
-/// Length of the queue, as a share of the concurrency limit of all assigned servers.
-const MAX_QUEUE_SHARE: f64 = 0.5;
+/// Length of the queue that is always allowed, as a share of the concurrency limit of all assigned servers.
+const QUEUE_SHARE: f64 = 0.5;
 
 /// Length of the queue that is allowed whatever the limit.
 const MIN_QUEUE_LENGTH: f64 = 2.0;
@@ -38,10 +38,21 @@
     }
 }
 
+/// What the bound of the queue goes by, of one waiting request.
+#[derive(Clone, Copy)]
+struct WaitingRequest {
+    /// The time for which it will keep a server busy.
+    service_time: Micros,
+    /// The longest time that it may wait.
+    max_wait: Micros,
+}
+
 /// The waiting requests, highest priority first.
 #[derive(Default)]
 pub struct Queue {
-    waiting: BTreeSet<QueueRank>,
+    waiting: BTreeMap<QueueRank, WaitingRequest>,
+    /// The sum of their service times.
+    total_service_time: Micros,
 }
 
 impl Queue {
@@ -50,33 +61,44 @@
         self.waiting.is_empty()
     }
 
-    /// Adds a request.
-    pub fn insert(&mut self, rank: QueueRank) {
-        self.waiting.insert(rank);
+    /// Adds a request of this class, which usually takes so many microseconds at a server.
+    pub fn insert(&mut self, rank: QueueRank, class: &RequestClass, usual_latency: f64) {
+        let waiting = WaitingRequest { service_time: usual_latency as Micros, max_wait: max_wait(class) };
+        self.total_service_time += waiting.service_time;
+        self.waiting.insert(rank, waiting);
     }
 
     /// Removes a request, if it waits.
     pub fn remove(&mut self, rank: &QueueRank) {
-        self.waiting.remove(rank);
+        if let Some(removed) = self.waiting.remove(rank) {
+            self.total_service_time -= removed.service_time;
+        }
     }
 
     /// The request to be served next.
     pub fn first(&self) -> Option<&Id> {
-        self.waiting.first().map(|rank| &rank.request)
+        self.waiting.first_key_value().map(|(rank, _)| &rank.request)
     }
 
     /// Removes the request to be served next.
     pub fn pop_first(&mut self) {
-        self.waiting.pop_first();
+        if let Some((_, removed)) = self.waiting.pop_first() {
+            self.total_service_time -= removed.service_time;
+        }
     }
 
-    /// Removes the request of the lowest priority if more wait than can be served in time.
-    pub fn pop_excess(&mut self, concurrency_limit: f64) -> Option<Id> {
-        let capacity = (MAX_QUEUE_SHARE * concurrency_limit).max(MIN_QUEUE_LENGTH);
-        if self.waiting.len() as f64 <= capacity {
+    /// Removes the request of the lowest priority if those that wait keep so many attempts in flight busy for longer than it
+    /// may wait. `slowdown` is the servers' present latency as a ratio to what it is when they are idle.
+    pub fn pop_excess(&mut self, concurrency_limit: f64, slowdown: f64) -> Option<Id> {
+        let (rank, last) = self.waiting.last_key_value()?;
+        let always_allowed = (QUEUE_SHARE * concurrency_limit).max(MIN_QUEUE_LENGTH);
+        let expected_wait = slowdown * self.total_service_time as f64 / concurrency_limit;
+        if self.waiting.len() as f64 <= always_allowed || expected_wait <= last.max_wait as f64 {
             return None;
         }
-        self.waiting.pop_last().map(|rank| rank.request)
+        let rank = rank.clone();
+        self.remove(&rank);
+        Some(rank.request)
     }
 }
 
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -239,3 +239,20 @@
     // One attempt for each of four servers.
     assert_eq!(sends(&fixture.take_actions()).len(), 4);
 }
+
+/// Guards against a burst being rejected that idle servers serve long before anybody has waited too long, as after a standstill
+/// of this gateway.
+#[test]
+fn a_burst_waits_where_servers_can_serve_it_in_time_and_is_shed_where_they_can_not() {
+    for (latency, rejected) in [(10 * MS, 0), (400 * MS, 26)] {
+        let mut fixture = Fixture::new(settings(Idempotency::Idempotent, wide()), 4);
+        for _ in 0..60 {
+            (0..8).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+            complete_all(&mut fixture, |_| latency);
+            fixture.pass(latency);
+        }
+        (0..30).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+        let actions = fixture.take_actions();
+        assert_eq!(rejected_requests(&actions).len(), rejected, "answers take {latency} us");
+    }
+}
