Names of the protocol's list, HTTP and operators' modules are standard terms

Need: names such as MOST_HEAD, Reading, twice, leaving, take and outside said little to a reader from the field. Change: names only.

--- a/crates/gateway/src/discovery/client.rs
+++ b/crates/gateway/src/discovery/client.rs
@@ -131,7 +131,7 @@
         since: Option<u64>,
         watch: Duration,
     ) -> Result<Vec<u8>, RequestError> {
-        let path = catalog::path(since.map(|since| (since, watch.as_millis() as u64)));
+        let path = catalog::request_path(since.map(|since| (since, watch.as_millis() as u64)));
         let request = http::get(&self.address.to_string(), &path);
         let timing = self.timing();
         let timeout = if watch.is_zero() { timing.poll_timeout } else { watch + timing.grace };
@@ -192,7 +192,7 @@
     }
 
     async fn dial(&self) -> Result<Connection, ConnectionEnd> {
-        let buffer = Buffer::new(http::MOST_MESSAGE, None);
+        let buffer = Buffer::new(http::MAX_MESSAGE_BYTES, None);
         Connection::connect(self.address, self.timing().grace, buffer, None).await
     }
 }
--- a/crates/gateway/src/operator/call_task.rs
+++ b/crates/gateway/src/operator/call_task.rs
@@ -62,7 +62,7 @@
 
 impl CallTask {
     pub(super) fn new(stream: Async<TcpStream>, shared: Rc<Shared>, orders: Sender<Order>) -> Self {
-        let connection = Connection::new(stream, Buffer::new(operator::MAX_MESSAGE, None), None);
+        let connection = Connection::new(stream, Buffer::new(operator::MAX_MESSAGE_BYTES, None), None);
         CallTask { connection, shared, orders }
     }
 
--- a/crates/gateway/src/protocol/catalog.rs
+++ b/crates/gateway/src/protocol/catalog.rs
@@ -37,26 +37,26 @@
 }
 
 /// Latest time of a start that is believed, in milliseconds: later ones would run over the clock.
-const LATEST: f64 = 1e14;
+const MAX_START_MS: f64 = 1e14;
 
 /// The path of a call: for the whole list, or for what is newer than a version, with the time it may wait.
-pub fn path(newer: Option<(u64, u64)>) -> String {
-    match newer {
+pub fn request_path(since: Option<(u64, u64)>) -> String {
+    match since {
         None => "/catalog/members".into(),
-        Some((since, wait_ms)) => format!("/catalog/members?since={since}&timeout_ms={wait_ms}"),
+        Some((version, wait_ms)) => format!("/catalog/members?since={version}&timeout_ms={wait_ms}"),
     }
 }
 
 /// Reads an answer that has been parsed whole.
-pub fn endpoint_update(from: &Value, outside: &PlatformSettings) -> Result<EndpointUpdate, ListError> {
-    let mut reading = Reading::default();
-    let entries = from.get("endpoints").and_then(Value::as_array);
+pub fn endpoint_update(response: &Value, platform: &PlatformSettings) -> Result<EndpointUpdate, ListError> {
+    let mut entries_read = EntryReader::default();
+    let entries = response.get("endpoints").and_then(Value::as_array);
     match entries {
-        Some(entries) => entries.iter().for_each(|entry| reading.take(entry, outside)),
-        None => reading.refuse(NO_ENDPOINTS.into()),
+        Some(entries) => entries.iter().for_each(|entry| entries_read.read(entry, platform)),
+        None => entries_read.reject(NO_ENDPOINTS.into()),
     }
-    let (index, full) = (from.get("index"), from.get("snapshot"));
-    reading.end(index.and_then(Value::as_u64), full.and_then(Value::as_bool))
+    let (index, full) = (response.get("index"), response.get("snapshot"));
+    entries_read.finish(index.and_then(Value::as_u64), full.and_then(Value::as_bool))
 }
 
 const NO_ENDPOINTS: &str = "a list without 'endpoints'";
@@ -81,93 +81,93 @@
 
 /// What has been read of an answer.
 #[derive(Default)]
-struct Reading {
+struct EntryReader {
     servers: Vec<Entry>,
-    named: HashSet<Id>,
+    names: HashSet<Id>,
     /// Why the whole is refused: the first entry that can't be read, or else that comes twice.
-    why: Option<String>,
-    twice: Option<String>,
-    leaving: Vec<Id>,
+    invalid: Option<String>,
+    duplicate: Option<String>,
+    draining: Vec<Id>,
     /// What will be known by its text.
-    texts: HashMap<Box<str>, Entry>,
+    by_text: HashMap<Box<str>, Entry>,
 }
 
-impl Reading {
+impl EntryReader {
     /// Reads an entry that has been parsed.
-    fn take(&mut self, entry: &Value, outside: &PlatformSettings) {
+    fn read(&mut self, entry: &Value, platform: &PlatformSettings) {
         let text = |name: &str| entry.get(name).and_then(Value::as_str);
         if matches!(text("status"), Some("terminating" | "terminated")) {
-            self.leaving.extend(text("name").map(Id::from));
+            self.draining.extend(text("name").map(Id::from));
         }
-        match server(entry, outside) {
+        match parse_entry(entry, platform) {
             Ok(entry) => self.add(entry),
-            Err(why) => self.refuse(why),
+            Err(invalid) => self.reject(invalid),
         }
     }
 
     /// Reads an entry by its text.
-    fn take_text(&mut self, text: &RawValue, known: &KnownEndpoints, outside: &PlatformSettings) {
+    fn read_text(&mut self, text: &RawValue, known: &KnownEndpoints, platform: &PlatformSettings) {
         if let Some(entry) = known.0.get(text.get()).cloned() {
             if entry.0.state != EndpointState::Ready {
-                self.leaving.push(entry.0.server.clone());
+                self.draining.push(entry.0.server.clone());
             }
-            self.texts.insert(text.get().into(), entry.clone());
+            self.by_text.insert(text.get().into(), entry.clone());
             return self.add(entry);
         }
         match serde_json::from_str::<Value>(text.get()) {
             Ok(entry) => {
                 let before = self.servers.len();
-                self.take(&entry, outside);
+                self.read(&entry, platform);
                 if let Some(entry) = self.servers.get(before) {
-                    self.texts.insert(text.get().into(), entry.clone());
+                    self.by_text.insert(text.get().into(), entry.clone());
                 }
             }
-            Err(error) => self.refuse(error.to_string()),
+            Err(error) => self.reject(error.to_string()),
         }
     }
 
     fn add(&mut self, entry: Entry) {
         // Which of two words on one server holds can't be known.
-        if !self.named.insert(entry.0.server.clone()) {
-            self.twice.get_or_insert_with(|| format!("server '{}' comes twice", entry.0.server));
+        if !self.names.insert(entry.0.server.clone()) {
+            self.duplicate.get_or_insert_with(|| format!("server '{}' comes twice", entry.0.server));
         }
         self.servers.push(entry);
     }
 
-    fn refuse(&mut self, why: String) {
-        self.why.get_or_insert(why);
+    fn reject(&mut self, invalid: String) {
+        self.invalid.get_or_insert(invalid);
     }
 
-    fn end(mut self, index: Option<u64>, full: Option<bool>) -> Result<EndpointUpdate, ListError> {
-        if let Some(why) = self.twice.take() {
-            self.refuse(why);
+    fn finish(mut self, index: Option<u64>, full: Option<bool>) -> Result<EndpointUpdate, ListError> {
+        if let Some(invalid) = self.duplicate.take() {
+            self.reject(invalid);
         }
         if index.is_none() {
-            self.refuse("a list without 'index'".into());
+            self.reject("a list without 'index'".into());
         }
         if full.is_none() {
-            self.refuse("a list without 'snapshot'".into());
+            self.reject("a list without 'snapshot'".into());
         }
-        match (self.why, index, full) {
+        match (self.invalid, index, full) {
             (None, Some(index), Some(full)) => {
                 Ok(EndpointUpdate { index, full, moved: false, servers: self.servers })
             }
-            (why, index, _) => {
-                Err(ListError { reason: why.unwrap_or_default(), index, draining: self.leaving })
+            (invalid, index, _) => {
+                Err(ListError { reason: invalid.unwrap_or_default(), index, draining: self.draining })
             }
         }
     }
 }
 
-/// Entries of a list that are read in one turn: some tenths of a millisecond.
-const ENTRIES_A_SLICE: usize = 64;
+/// Entries of a list that are read in one iteration of the event loop: some tenths of a millisecond.
+const ENTRIES_PER_SLICE: usize = 64;
 
 /// Reads an answer slice by slice: to read thousands of entries in one turn would hold up all else.
 pub struct SlicedReader<'a> {
     outline: Outline<'a>,
     /// The first entry that has not been read.
     next: usize,
-    reading: Reading,
+    entries_read: EntryReader,
 }
 
 impl<'a> SlicedReader<'a> {
@@ -177,15 +177,15 @@
             Err(error) if error.is_data() => Outline::default(),
             other => other.map_err(|error| error.to_string())?,
         };
-        Ok(SlicedReader { outline, next: 0, reading: Reading::default() })
+        Ok(SlicedReader { outline, next: 0, entries_read: EntryReader::default() })
     }
 
     /// Reads the next entries; whether there are more behind them.
-    pub fn read_slice(&mut self, known: &KnownEndpoints, outside: &PlatformSettings) -> bool {
+    pub fn read_slice(&mut self, known: &KnownEndpoints, platform: &PlatformSettings) -> bool {
         let entries = self.outline.endpoints.as_deref().unwrap_or_default();
         let rest = entries.get(self.next..).unwrap_or_default();
-        let slice = &rest[..rest.len().min(ENTRIES_A_SLICE)];
-        slice.iter().for_each(|text| self.reading.take_text(text, known, outside));
+        let slice = &rest[..rest.len().min(ENTRIES_PER_SLICE)];
+        slice.iter().for_each(|text| self.entries_read.read_text(text, known, platform));
         self.next += slice.len();
         self.next < entries.len()
     }
@@ -193,35 +193,35 @@
     /// What was read. Of a whole list the texts are known from now on.
     pub fn end(mut self, known: &mut KnownEndpoints) -> Result<EndpointUpdate, ListError> {
         if self.outline.endpoints.is_none() {
-            self.reading.refuse(NO_ENDPOINTS.into());
+            self.entries_read.reject(NO_ENDPOINTS.into());
         }
-        let texts = std::mem::take(&mut self.reading.texts);
+        let by_text = std::mem::take(&mut self.entries_read.by_text);
         let index = self.outline.index.and_then(|index| serde_json::from_str(index.get()).ok());
         let full = self.outline.snapshot.and_then(|full| serde_json::from_str(full.get()).ok());
-        let members = self.reading.end(index, full);
-        if members.as_ref().is_ok_and(|members| members.full) {
-            known.0 = texts;
+        let update = self.entries_read.finish(index, full);
+        if update.as_ref().is_ok_and(|update| update.full) {
+            known.0 = by_text;
         }
-        members
+        update
     }
 }
 
-fn server(entry: &Value, outside: &PlatformSettings) -> Result<(Endpoint, SocketAddr), String> {
+fn parse_entry(entry: &Value, platform: &PlatformSettings) -> Result<(Endpoint, SocketAddr), String> {
     let text = |name: &str| entry.get(name).and_then(Value::as_str);
     let server = text("name").filter(|name| !name.is_empty()).ok_or("a server without 'name'")?;
     let address = text("address").and_then(|address| address.parse().ok());
     let address = address.ok_or_else(|| format!("server '{server}' has no 'address' of a socket"))?;
-    let place = |names: &[String], name: &str| {
+    let position_of = |names: &[String], name: &str| {
         let at = text(name).and_then(|name| names.iter().position(|known| known == name));
         at.unwrap_or(names.len()) as u32
     };
-    let told_start = (entry.get("since_ms").and_then(Value::as_f64))
-        .filter(|at| *at > 0.0 && *at < LATEST)
+    let started_at = (entry.get("since_ms").and_then(Value::as_f64))
+        .filter(|at| *at > 0.0 && *at < MAX_START_MS)
         .map(|at| (at * 1000.0) as u64);
-    let listed = Endpoint {
+    let endpoint = Endpoint {
         server: Id::from(server),
-        zone: place(&outside.zones, "zone"),
-        hardware_type: place(&outside.hardware_types, "type"),
+        zone: position_of(&platform.zones, "zone"),
+        hardware_type: position_of(&platform.hardware_types, "type"),
         cell: entry.get("group").and_then(Value::as_u64).unwrap_or(0) as u32,
         state: match text("status") {
             Some("in_service") => EndpointState::Ready,
@@ -233,8 +233,8 @@
             None => return Err(format!("server '{server}' has no 'status'")),
         },
         weight: entry.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-        started_at: told_start,
-        listed_start: told_start,
+        started_at,
+        listed_start: started_at,
     };
-    Ok((listed, address))
+    Ok((endpoint, address))
 }
--- a/crates/gateway/src/protocol/operator.rs
+++ b/crates/gateway/src/protocol/operator.rs
@@ -3,10 +3,10 @@
 use fernscale_policy::Id;
 
 /// Longest head of a call, and longest body: an id has some tens of bytes.
-const MAX_HEAD: usize = 8 * 1024;
-const MAX_BODY: usize = 1024;
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+const MAX_BODY_BYTES: usize = 1024;
 /// No call is longer, with the blanks that may stand round its id.
-pub const MAX_MESSAGE: usize = MAX_HEAD + MAX_BODY;
+pub const MAX_MESSAGE_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
 
 /// What an operator wants.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,8 +49,8 @@
 /// A [`Rejection`] as soon as what has come can't be the beginning of a call.
 pub fn parse_call(bytes: &[u8]) -> Result<Option<OperatorCall>, Rejection> {
     // Some clients write line ends before a call.
-    let blank = bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
-    let bytes = &bytes[blank..];
+    let leading_line_ends = bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+    let bytes = &bytes[leading_line_ends..];
     let Some(end) = find_head_end(bytes)? else { return Ok(None) };
     let head = parse_head(&bytes[..end])?;
     let expected_method = match head.path {
@@ -78,7 +78,7 @@
 
 /// Where the head ends, before its empty line; `None` while that has not come.
 fn find_head_end(bytes: &[u8]) -> Result<Option<usize>, Rejection> {
-    if let Some(end) = bytes.windows(4).take(MAX_HEAD).position(|four| four == b"\r\n\r\n") {
+    if let Some(end) = bytes.windows(4).take(MAX_HEAD_BYTES).position(|window| window == b"\r\n\r\n") {
         return Ok(Some(end));
     }
     // What can't be a call is rejected at once, so that nobody waits for the rest of it.
@@ -86,7 +86,7 @@
     if first_line.iter().any(|byte| !(b' '..=b'~').contains(byte) && *byte != b'\r') {
         return Err(Rejection::new(400, "the first line is no text"));
     }
-    if bytes.len() >= MAX_HEAD {
+    if bytes.len() >= MAX_HEAD_BYTES {
         return Err(Rejection::new(431, "the head is too long"));
     }
     Ok(None)
@@ -130,7 +130,7 @@
 fn parse_server(bytes: &[u8], content_length: Option<usize>) -> Result<Option<Id>, Rejection> {
     let length =
         content_length.ok_or_else(|| Rejection::new(411, "the body has to have a Content-Length"))?;
-    if length > MAX_BODY {
+    if length > MAX_BODY_BYTES {
         return Err(Rejection::new(413, "the body is too long for an id"));
     }
     let Some(body) = bytes.get(..length) else { return Ok(None) };
