What makes an endpoint list invalid is an enum with the texts of before

Need: problems of a list were strings made where they were found; keys and states of the protocol stood among the code. Change: InvalidList and InvalidEntry (thiserror) carry the texts, a table has the JSON keys that discovery writes, another its states; parsing is split by steps, with documentation. ListError stays a struct whose reason is the text, as the tests and the readers in program/ and fleet/ build and take it apart. Evidence: a new test has each text of a list and which of two problems is reported; it passed before the change too. Not in it: texts of the JSON parser.

--- a/crates/gateway/src/protocol/catalog.rs
+++ b/crates/gateway/src/protocol/catalog.rs
@@ -1,31 +1,76 @@
-//! The list of servers, as discovery words it.
+//! The endpoint list in JSON, as discovery writes it: the path of a request, and the meaning of a response.
+//!
+//! A response is read in one step ([`endpoint_update`]) or in slices ([`SlicedReader`]), with the same result. One entry that
+//! can't be read makes the whole response invalid, but servers that it lists as draining are reported all the same.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use fernscale_policy::settings::PlatformSettings;
-use fernscale_policy::{Endpoint, EndpointState, Id};
+use fernscale_policy::{Endpoint, EndpointState, Id, Micros};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::Value;
+use thiserror::Error;
 
-/// The whole list, or what changed in it.
+/// The keys of a response and of its entries, where they differ from the terms of the code.
+mod key {
+    /// The version of the list.
+    pub const INDEX: &str = "index";
+    /// Whether the list is complete.
+    pub const IS_COMPLETE: &str = "snapshot";
+    /// The entries, one for each server.
+    pub const ENDPOINTS: &str = "endpoints";
+    /// The server's id.
+    pub const SERVER: &str = "name";
+    /// The address and port at which this gateway reaches the server.
+    pub const ADDRESS: &str = "address";
+    /// The state, as in [`parse_state`](super::parse_state).
+    pub const STATE: &str = "status";
+    /// The zone, by its name in the settings.
+    pub const ZONE: &str = "zone";
+    /// The hardware type, by its name in the settings.
+    pub const HARDWARE_TYPE: &str = "type";
+    /// The cell, a number.
+    pub const CELL: &str = "group";
+    /// The server's weight; 1 where it is missing.
+    pub const WEIGHT: &str = "weight";
+    /// When the server started, in milliseconds.
+    pub const STARTED_AT: &str = "since_ms";
+}
+
+/// The path that serves the list.
+const LIST_PATH: &str = "/catalog/members";
+/// The latest start that is accepted, in milliseconds. Danger: later ones would overflow the clock.
+const MAX_START_MS: f64 = 1e14;
+/// Microseconds in a millisecond.
+const MICROS_PER_MS: f64 = 1000.0;
+/// Entries that are read in one iteration of the event loop: some tenths of a millisecond.
+const ENTRIES_PER_SLICE: usize = 64;
+
+/// The complete list, or the changes since an earlier version.
 #[derive(Clone, Debug)]
 pub struct EndpointUpdate {
+    /// The version of the list.
     pub index: u64,
+    /// Whether the list is complete: servers that it doesn't have are removed.
     pub full: bool,
-    /// The first from another discovery than the one before: its versions are of another row.
+    /// This is the first list of another discovery than the one before: its versions are another sequence.
     pub moved: bool,
-    /// Each server, and where this gateway finds it.
+    /// Each server, and the address at which this gateway reaches it.
     pub servers: Vec<(Endpoint, SocketAddr)>,
 }
 
-/// Why an answer is refused whole: nothing in it is taken for known. But what it says to leave is left all the same. Danger: a
-/// drain in an answer that can't be read otherwise counts as told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why a response is rejected as a whole: none of its entries is used, but servers that drain are taken out of service. Danger: the
+/// discovery counts a server that drains in a response as notified, even where the rest of the response can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{reason}")]
 pub struct ListError {
+    /// What is wrong, for the log.
     pub reason: String,
+    /// The version of the list, where it could be read.
     pub index: Option<u64>,
+    /// The servers that the response lists as draining or removed.
     pub draining: Vec<Id>,
 }
 
@@ -36,205 +81,265 @@
     }
 }
 
-/// Latest time of a start that is believed, in milliseconds: later ones would run over the clock.
-const MAX_START_MS: f64 = 1e14;
+/// What makes a list invalid. The texts are in the log, as [`ListError::reason`].
+#[derive(Debug, Error)]
+enum InvalidList {
+    #[error("a list without 'endpoints'")]
+    MissingEndpoints,
+    #[error("a list without 'index'")]
+    MissingIndex,
+    #[error("a list without 'snapshot'")]
+    MissingSnapshot,
+    /// Two entries for one server: which of them holds can't be known.
+    #[error("server '{0}' comes twice")]
+    DuplicateServer(Id),
+    #[error(transparent)]
+    Entry(#[from] InvalidEntry),
+}
 
-/// The path of a call: for the whole list, or for what is newer than a version, with the time it may wait.
+/// What makes an entry of a list invalid.
+#[derive(Debug, Error)]
+enum InvalidEntry {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("a server without 'name'")]
+    MissingName,
+    #[error("server '{server}' has no 'address' of a socket")]
+    InvalidAddress { server: String },
+    #[error("server '{server}' has no 'status'")]
+    MissingStatus { server: String },
+    #[error("server '{server}' has a 'status' that is not known: '{status}'")]
+    UnknownStatus { server: String, status: String },
+}
+
+/// The path of a request for the complete list, or for what is newer than a version, with the milliseconds that the response may
+/// wait for it.
 pub fn request_path(since: Option<(u64, u64)>) -> String {
     match since {
-        None => "/catalog/members".into(),
-        Some((version, wait_ms)) => format!("/catalog/members?since={version}&timeout_ms={wait_ms}"),
+        None => LIST_PATH.into(),
+        Some((version, wait_ms)) => format!("{LIST_PATH}?since={version}&timeout_ms={wait_ms}"),
     }
 }
 
-/// Reads an answer that has been parsed whole.
+/// Reads a response that has been parsed as JSON.
+///
+/// # Errors
+///
+/// A [`ListError`] where a part of the list is missing, an entry can't be read, or two entries are for one server.
 pub fn endpoint_update(response: &Value, platform: &PlatformSettings) -> Result<EndpointUpdate, ListError> {
     let mut entries_read = EntryReader::default();
-    let entries = response.get("endpoints").and_then(Value::as_array);
-    match entries {
+    match response.get(key::ENDPOINTS).and_then(Value::as_array) {
         Some(entries) => entries.iter().for_each(|entry| entries_read.read(entry, platform)),
-        None => entries_read.reject(NO_ENDPOINTS.into()),
+        None => entries_read.reject(InvalidList::MissingEndpoints),
     }
-    let (index, full) = (response.get("index"), response.get("snapshot"));
-    entries_read.finish(index.and_then(Value::as_u64), full.and_then(Value::as_bool))
-}
-
-const NO_ENDPOINTS: &str = "a list without 'endpoints'";
-
-/// The outline of an answer, its entries unread.
-#[derive(Default, Deserialize)]
-struct Outline<'a> {
-    #[serde(borrow)]
-    index: Option<&'a RawValue>,
-    #[serde(borrow)]
-    snapshot: Option<&'a RawValue>,
-    #[serde(borrow)]
-    endpoints: Option<Vec<&'a RawValue>>,
+    let index = response.get(key::INDEX).and_then(Value::as_u64);
+    let is_complete = response.get(key::IS_COMPLETE).and_then(Value::as_bool);
+    entries_read.finish(index, is_complete)
 }
 
-/// A server as an entry told of it.
+/// A server and its address, as an entry lists them.
 type Entry = (Endpoint, SocketAddr);
 
-/// Entries of the last whole list by their texts: most of the next one are the same to the letter, and are not parsed again.
+/// Entries of the last complete list by their texts: most of the next list are equal byte for byte, and are not parsed again.
 #[derive(Default)]
 pub struct KnownEndpoints(HashMap<Box<str>, Entry>);
 
-/// What has been read of an answer.
+/// Reads the entries of one response, and keeps what has been read so far.
 #[derive(Default)]
 struct EntryReader {
     servers: Vec<Entry>,
+    /// The names of these servers.
     names: HashSet<Id>,
-    /// Why the whole is refused: the first entry that can't be read, or else that comes twice.
-    invalid: Option<String>,
-    duplicate: Option<String>,
+    /// The first problem but for duplicates, which count only where there is no other.
+    invalid: Option<InvalidList>,
+    /// The first duplicate.
+    duplicate: Option<InvalidList>,
+    /// Servers that are listed as draining or removed.
     draining: Vec<Id>,
-    /// What will be known by its text.
+    /// The entries that were read from their texts.
     by_text: HashMap<Box<str>, Entry>,
 }
 
 impl EntryReader {
-    /// Reads an entry that has been parsed.
+    /// Reads an entry that has been parsed as JSON.
     fn read(&mut self, entry: &Value, platform: &PlatformSettings) {
-        let text = |name: &str| entry.get(name).and_then(Value::as_str);
-        if matches!(text("status"), Some("terminating" | "terminated")) {
-            self.draining.extend(text("name").map(Id::from));
+        if string_field(entry, key::STATE).and_then(parse_state).is_some_and(is_out_of_service) {
+            self.draining.extend(string_field(entry, key::SERVER).map(Id::from));
         }
         match parse_entry(entry, platform) {
             Ok(entry) => self.add(entry),
-            Err(invalid) => self.reject(invalid),
+            Err(error) => self.reject(error.into()),
         }
     }
 
-    /// Reads an entry by its text.
+    /// Reads an entry from its text, or takes it from `known`.
     fn read_text(&mut self, text: &RawValue, known: &KnownEndpoints, platform: &PlatformSettings) {
-        if let Some(entry) = known.0.get(text.get()).cloned() {
-            if entry.0.state != EndpointState::Ready {
-                self.draining.push(entry.0.server.clone());
-            }
+        if let Some(entry) = known.0.get(text.get()) {
+            return self.add_known(text, entry.clone());
+        }
+        let entry: Value = match serde_json::from_str(text.get()) {
+            Ok(entry) => entry,
+            Err(error) => return self.reject(InvalidEntry::Json(error).into()),
+        };
+        let count_before = self.servers.len();
+        self.read(&entry, platform);
+        if let Some(entry) = self.servers.get(count_before) {
             self.by_text.insert(text.get().into(), entry.clone());
-            return self.add(entry);
         }
-        match serde_json::from_str::<Value>(text.get()) {
-            Ok(entry) => {
-                let before = self.servers.len();
-                self.read(&entry, platform);
-                if let Some(entry) = self.servers.get(before) {
-                    self.by_text.insert(text.get().into(), entry.clone());
-                }
-            }
-            Err(error) => self.reject(error.to_string()),
+    }
+
+    fn add_known(&mut self, text: &RawValue, entry: Entry) {
+        if is_out_of_service(entry.0.state) {
+            self.draining.push(entry.0.server.clone());
         }
+        self.by_text.insert(text.get().into(), entry.clone());
+        self.add(entry);
     }
 
     fn add(&mut self, entry: Entry) {
-        // Which of two words on one server holds can't be known.
-        if !self.names.insert(entry.0.server.clone()) {
-            self.duplicate.get_or_insert_with(|| format!("server '{}' comes twice", entry.0.server));
+        let server = &entry.0.server;
+        if !self.names.insert(server.clone()) {
+            self.duplicate.get_or_insert_with(|| InvalidList::DuplicateServer(server.clone()));
         }
         self.servers.push(entry);
     }
 
-    fn reject(&mut self, invalid: String) {
-        self.invalid.get_or_insert(invalid);
+    /// Makes the list invalid; the first problem is the one that is reported.
+    fn reject(&mut self, problem: InvalidList) {
+        self.invalid.get_or_insert(problem);
     }
 
-    fn finish(mut self, index: Option<u64>, full: Option<bool>) -> Result<EndpointUpdate, ListError> {
-        if let Some(invalid) = self.duplicate.take() {
-            self.reject(invalid);
-        }
-        if index.is_none() {
-            self.reject("a list without 'index'".into());
-        }
-        if full.is_none() {
-            self.reject("a list without 'snapshot'".into());
-        }
-        match (self.invalid, index, full) {
+    /// The list, once all entries have been read.
+    fn finish(self, index: Option<u64>, is_complete: Option<bool>) -> Result<EndpointUpdate, ListError> {
+        let update = match (self.invalid.or(self.duplicate), index, is_complete) {
+            (Some(problem), _, _) => Err(problem),
+            (None, None, _) => Err(InvalidList::MissingIndex),
+            (None, Some(_), None) => Err(InvalidList::MissingSnapshot),
             (None, Some(index), Some(full)) => {
                 Ok(EndpointUpdate { index, full, moved: false, servers: self.servers })
             }
-            (invalid, index, _) => {
-                Err(ListError { reason: invalid.unwrap_or_default(), index, draining: self.draining })
-            }
-        }
+        };
+        update.map_err(|problem| ListError { reason: problem.to_string(), index, draining: self.draining })
     }
 }
 
-/// Entries of a list that are read in one iteration of the event loop: some tenths of a millisecond.
-const ENTRIES_PER_SLICE: usize = 64;
+/// The parts of a response as texts, its entries not parsed yet.
+#[derive(Default, Deserialize)]
+struct Outline<'a> {
+    #[serde(borrow)]
+    index: Option<&'a RawValue>,
+    #[serde(borrow)]
+    snapshot: Option<&'a RawValue>,
+    #[serde(borrow)]
+    endpoints: Option<Vec<&'a RawValue>>,
+}
 
-/// Reads an answer slice by slice: to read thousands of entries in one turn would hold up all else.
+/// Reads a response in slices. Danger: thousands of entries in one iteration would hold up the event loop.
 pub struct SlicedReader<'a> {
     outline: Outline<'a>,
-    /// The first entry that has not been read.
+    /// The position of the first entry that has not been read.
     next: usize,
     entries_read: EntryReader,
 }
 
 impl<'a> SlicedReader<'a> {
-    /// Fails where the text is no JSON. One that is of another form has no entries.
+    /// A reader of a response; one that is JSON of another form has no entries.
+    ///
+    /// # Errors
+    ///
+    /// The text of the parser's error where the body is not JSON.
     pub fn of(body: &'a [u8]) -> Result<Self, String> {
         let outline = match serde_json::from_slice(body) {
+            Ok(outline) => outline,
             Err(error) if error.is_data() => Outline::default(),
-            other => other.map_err(|error| error.to_string())?,
+            Err(error) => return Err(error.to_string()),
         };
         Ok(SlicedReader { outline, next: 0, entries_read: EntryReader::default() })
     }
 
-    /// Reads the next entries; whether there are more behind them.
+    /// Reads the next slice of entries, and tells whether there are more behind it.
     pub fn read_slice(&mut self, known: &KnownEndpoints, platform: &PlatformSettings) -> bool {
         let entries = self.outline.endpoints.as_deref().unwrap_or_default();
-        let rest = entries.get(self.next..).unwrap_or_default();
-        let slice = &rest[..rest.len().min(ENTRIES_PER_SLICE)];
-        slice.iter().for_each(|text| self.entries_read.read_text(text, known, platform));
-        self.next += slice.len();
-        self.next < entries.len()
+        let end = entries.len().min(self.next + ENTRIES_PER_SLICE);
+        for text in &entries[self.next..end] {
+            self.entries_read.read_text(text, known, platform);
+        }
+        self.next = end;
+        end < entries.len()
     }
 
-    /// What was read. Of a whole list the texts are known from now on.
+    /// The list, once all slices have been read. The entries of a complete list replace those in `known`.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`endpoint_update`].
     pub fn end(mut self, known: &mut KnownEndpoints) -> Result<EndpointUpdate, ListError> {
         if self.outline.endpoints.is_none() {
-            self.entries_read.reject(NO_ENDPOINTS.into());
+            self.entries_read.reject(InvalidList::MissingEndpoints);
         }
         let by_text = std::mem::take(&mut self.entries_read.by_text);
-        let index = self.outline.index.and_then(|index| serde_json::from_str(index.get()).ok());
-        let full = self.outline.snapshot.and_then(|full| serde_json::from_str(full.get()).ok());
-        let update = self.entries_read.finish(index, full);
-        if update.as_ref().is_ok_and(|update| update.full) {
+        let index = self.outline.index.and_then(|text| serde_json::from_str(text.get()).ok());
+        let is_complete = self.outline.snapshot.and_then(|text| serde_json::from_str(text.get()).ok());
+        let update = self.entries_read.finish(index, is_complete)?;
+        if update.full {
             known.0 = by_text;
         }
-        update
+        Ok(update)
     }
 }
 
-fn parse_entry(entry: &Value, platform: &PlatformSettings) -> Result<(Endpoint, SocketAddr), String> {
-    let text = |name: &str| entry.get(name).and_then(Value::as_str);
-    let server = text("name").filter(|name| !name.is_empty()).ok_or("a server without 'name'")?;
-    let address = text("address").and_then(|address| address.parse().ok());
-    let address = address.ok_or_else(|| format!("server '{server}' has no 'address' of a socket"))?;
-    let position_of = |names: &[String], name: &str| {
-        let at = text(name).and_then(|name| names.iter().position(|known| known == name));
-        at.unwrap_or(names.len()) as u32
-    };
-    let started_at = (entry.get("since_ms").and_then(Value::as_f64))
-        .filter(|at| *at > 0.0 && *at < MAX_START_MS)
-        .map(|at| (at * 1000.0) as u64);
+/// A field of an entry that is a text.
+fn string_field<'v>(entry: &'v Value, key: &str) -> Option<&'v str> {
+    entry.get(key)?.as_str()
+}
+
+fn parse_entry(entry: &Value, platform: &PlatformSettings) -> Result<Entry, InvalidEntry> {
+    let server =
+        string_field(entry, key::SERVER).filter(|name| !name.is_empty()).ok_or(InvalidEntry::MissingName)?;
+    let address = string_field(entry, key::ADDRESS)
+        .and_then(|address| address.parse().ok())
+        .ok_or_else(|| InvalidEntry::InvalidAddress { server: server.into() })?;
+    let status = string_field(entry, key::STATE)
+        .ok_or_else(|| InvalidEntry::MissingStatus { server: server.into() })?;
+    let state = parse_state(status)
+        .ok_or_else(|| InvalidEntry::UnknownStatus { server: server.into(), status: status.into() })?;
+    let started_at = parse_start(entry);
     let endpoint = Endpoint {
         server: Id::from(server),
-        zone: position_of(&platform.zones, "zone"),
-        hardware_type: position_of(&platform.hardware_types, "type"),
-        cell: entry.get("group").and_then(Value::as_u64).unwrap_or(0) as u32,
-        state: match text("status") {
-            Some("in_service") => EndpointState::Ready,
-            Some("terminating") => EndpointState::Draining,
-            Some("terminated") => EndpointState::Removed,
-            Some(other) => {
-                return Err(format!("server '{server}' has a 'status' that is not known: '{other}'"))
-            }
-            None => return Err(format!("server '{server}' has no 'status'")),
-        },
-        weight: entry.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+        zone: position(&platform.zones, string_field(entry, key::ZONE)),
+        hardware_type: position(&platform.hardware_types, string_field(entry, key::HARDWARE_TYPE)),
+        cell: entry.get(key::CELL).and_then(Value::as_u64).unwrap_or(0) as u32,
+        state,
+        weight: entry.get(key::WEIGHT).and_then(Value::as_f64).unwrap_or(1.0),
         started_at,
         listed_start: started_at,
     };
     Ok((endpoint, address))
 }
+
+/// The states of servers, as discovery names them.
+fn parse_state(status: &str) -> Option<EndpointState> {
+    match status {
+        "in_service" => Some(EndpointState::Ready),
+        "terminating" => Some(EndpointState::Draining),
+        "terminated" => Some(EndpointState::Removed),
+        _ => None,
+    }
+}
+
+fn is_out_of_service(state: EndpointState) -> bool {
+    state != EndpointState::Ready
+}
+
+/// When the server of an entry started, where that is known.
+fn parse_start(entry: &Value) -> Option<Micros> {
+    let start_ms = entry.get(key::STARTED_AT)?.as_f64()?;
+    let is_accepted = start_ms > 0.0 && start_ms < MAX_START_MS;
+    is_accepted.then_some((start_ms * MICROS_PER_MS) as Micros)
+}
+
+/// The position of a name in the settings; their number where it is not among them.
+fn position(names: &[String], name: Option<&str>) -> u32 {
+    let position = name.and_then(|name| names.iter().position(|known| known == name));
+    position.unwrap_or(names.len()) as u32
+}
--- a/crates/gateway/tests/lists.rs
+++ b/crates/gateway/tests/lists.rs
@@ -179,3 +179,31 @@
         );
     }
 }
+
+/// The texts are in the log, where operators and their alerts look for them. Danger: a change of the errors' shape changes one.
+#[test]
+fn each_problem_of_a_list_has_its_text_and_the_first_one_is_reported() {
+    let list = |entries: &str| format!(r#"{{"index":4,"snapshot":true,"endpoints":[{entries}]}}"#);
+    let unknown = r#"{"name":"d","address":"127.0.0.1:4","status":"odd"}"#;
+    for (body, text) in [
+        (r#"{"index":4,"snapshot":true}"#.into(), "a list without 'endpoints'"),
+        (r#"{"snapshot":true,"endpoints":[]}"#.into(), "a list without 'index'"),
+        (r#"{"index":4,"endpoints":[]}"#.into(), "a list without 'snapshot'"),
+        (r#"{"endpoints":[]}"#.into(), "a list without 'index'"),
+        ("{}".into(), "a list without 'endpoints'"),
+        (list("{}"), "a server without 'name'"),
+        (list(r#"{"name":""}"#), "a server without 'name'"),
+        (list(r#"{"name":"d"}"#), "server 'd' has no 'address' of a socket"),
+        (list(r#"{"name":"d","address":"127.0.0.1:4"}"#), "server 'd' has no 'status'"),
+        (list(unknown), "server 'd' has a 'status' that is not known: 'odd'"),
+        (list(&[GOOD, DRAINS, GOOD, DRAINS].join(",")), "server 'a' comes twice"),
+        // A duplicate counts only where all entries can be read, and before what is missing around them.
+        (list(&[GOOD, GOOD, unknown].join(",")), "server 'd' has a 'status' that is not known: 'odd'"),
+        (list(&["{}", unknown].join(",")), "a server without 'name'"),
+        (format!(r#"{{"endpoints":[{GOOD},{GOOD}]}}"#), "server 'a' comes twice"),
+    ] {
+        let whole = read_at_once(&body).expect_err(&body);
+        let sliced = read_in_slices(&body, &mut KnownEndpoints::default()).expect_err(&body);
+        assert_eq!((whole.reason.as_str(), sliced.reason.as_str()), (text, text), "{body}");
+    }
+}
