The HTTP reader of discovery's responses is split by steps and documented

Need: one function parsed the status line and all headers, another read the head and all kinds of bodies. Change: the status line, each header that counts, the size of a chunk and each kind of body have a function; what a version means is an enum in place of a minor number. Texts of errors and limits are as they were.

--- a/crates/gateway/src/protocol/http.rs
+++ b/crates/gateway/src/protocol/http.rs
@@ -1,185 +1,291 @@
-//! HTTP/1.1, as far as a client of the list needs it: a request without a body, and any response.
+//! HTTP/1.1, as far as a client of the endpoint list needs it: a request without a body, and any response.
 
 use super::Scanned;
 
-/// Longest head of a response, and longest body: a list of ten thousand servers.
+/// The longest head of a response, and the longest line in a chunked body, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The longest body of a response, in bytes: a list of ten thousand servers.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// No response is longer, with the sizes of its chunks.
+/// No response is longer, in bytes, with the sizes of its chunks.
 pub const MAX_MESSAGE_BYTES: usize = 2 * MAX_BODY_BYTES;
 
+const LINE_END: &[u8] = b"\r\n";
+/// The line end of the last header, and the empty line behind it.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A complete response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Response {
+    /// The status code.
     pub status: u16,
+    /// The body, without the sizes of its chunks.
     pub body: Vec<u8>,
     /// Whether the connection may be used again.
     pub keep: bool,
 }
 
+/// Writes a GET request.
 pub fn get(host: &str, path: &str) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").into_bytes()
 }
 
+/// Reads a response; `ended` says that no more bytes will come.
+///
+/// # Errors
+///
+/// Those of [`Reader::read`].
+pub fn response(bytes: &[u8], ended: bool) -> Scanned<Response> {
+    Reader::default().read(bytes, ended)
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy)]
 enum BodyLength {
+    /// By its length in bytes.
     Known(usize),
+    /// By a chunk of size 0.
     Chunked,
-    /// All that comes until the connection ends.
+    /// By the end of the connection.
     UntilClose,
 }
 
-/// The head of a response, and where its body begins.
+/// The head of a response.
+#[derive(Clone, Copy)]
 struct Head {
     status: u16,
     keep: bool,
-    length: BodyLength,
+    body_length: BodyLength,
+    /// The offset of the body.
     body_start: usize,
 }
 
-/// Reads one response as it comes. What has been understood is not looked at again with the next bytes: a long list may come
-/// in thousands of pieces.
+impl Head {
+    /// Whether another response follows on the same request.
+    fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    /// Whether the status rules out a body, whatever the headers say.
+    fn has_no_body(&self) -> bool {
+        matches!(self.status, 204 | 304)
+    }
+}
+
+/// Reads one response while it comes. What has been parsed is not parsed again with the next bytes: a long list may come in thousands
+/// of pieces.
 #[derive(Default)]
 pub struct Reader {
-    /// Where the response begins, behind interim ones.
+    /// The offset of the response, behind interim ones.
     start: usize,
     head: Option<Head>,
-    /// Where the next chunk begins, and what those before it held.
+    /// The offset of the next chunk.
     next_chunk: usize,
+    /// What the chunks before it held.
     body: Vec<u8>,
 }
 
-/// Reads a response; `ended` says that no more bytes will come.
-pub fn response(bytes: &[u8], ended: bool) -> Scanned<Response> {
-    Reader::default().read(bytes, ended)
-}
-
 impl Reader {
-    /// `bytes`: all that have come of the response so far; `ended`: no more will.
+    /// Reads a response and its length; `bytes` are all that have come so far, and `ended` says that no more will.
+    ///
+    /// # Errors
+    ///
+    /// A text that says why the bytes can't be a response, or why it is too long.
     pub fn read(&mut self, bytes: &[u8], ended: bool) -> Scanned<Response> {
+        let Some(head) = self.read_head(bytes)? else { return Ok(None) };
+        let Some((body, end)) = self.read_body(&head, bytes, ended)? else { return Ok(None) };
+        let keep = head.keep && !matches!(head.body_length, BodyLength::UntilClose);
+        Ok(Some((Response { status: head.status, body, keep }, end)))
+    }
+
+    /// The head of the response, behind interim ones.
+    fn read_head(&mut self, bytes: &[u8]) -> Result<Option<Head>, &'static str> {
         while self.head.is_none() {
             let Some(head) = parse_head(bytes, self.start)? else { return Ok(None) };
-            if head.status < 200 {
-                // Only an interim word: the response comes after it.
+            if head.is_interim() {
                 self.start = head.body_start;
             } else {
                 self.next_chunk = head.body_start;
                 self.head = Some(head);
             }
         }
-        let Some(Head { status, keep, length, body_start }) = &self.head else { return Ok(None) };
-        let (status, keep, start) = (*status, *keep, *body_start);
-        let keep = keep && !matches!(length, BodyLength::UntilClose);
-        let (body, end) = match length {
-            _ if matches!(status, 204 | 304) => (Vec::new(), start),
-            BodyLength::Known(length) => match bytes.get(start..start + length) {
-                Some(body) => (body.to_vec(), start + length),
-                None => return Ok(None),
-            },
-            BodyLength::Chunked => match self.read_chunks(bytes)? {
-                Some(end) => (std::mem::take(&mut self.body), end),
-                None => return Ok(None),
-            },
-            BodyLength::UntilClose if ended => (bytes[start..].to_vec(), bytes.len()),
-            BodyLength::UntilClose => return Ok(None),
-        };
-        Ok(Some((Response { status, body, keep }, end)))
+        Ok(self.head)
+    }
+
+    fn read_body(&mut self, head: &Head, bytes: &[u8], ended: bool) -> Scanned<Vec<u8>> {
+        let start = head.body_start;
+        if head.has_no_body() {
+            return Ok(Some((Vec::new(), start)));
+        }
+        match head.body_length {
+            BodyLength::Known(length) => {
+                let end = start + length;
+                Ok(bytes.get(start..end).map(|body| (body.to_vec(), end)))
+            }
+            BodyLength::Chunked => {
+                let end = self.read_chunks(bytes)?;
+                Ok(end.map(|end| (std::mem::take(&mut self.body), end)))
+            }
+            BodyLength::UntilClose if ended => Ok(Some((bytes[start..].to_vec(), bytes.len()))),
+            BodyLength::UntilClose => Ok(None),
+        }
     }
 
-    /// Takes the chunks that have come whole; the end of the response, once it is there.
+    /// Reads the chunks that have come complete; gives the end of the response once that has come.
     fn read_chunks(&mut self, bytes: &[u8]) -> Result<Option<usize>, &'static str> {
         loop {
-            let Some(end) = find_line_end(bytes, self.next_chunk)? else { return Ok(None) };
-            let size = bytes[self.next_chunk..end].split(|byte| *byte == b';').next().unwrap_or_default();
-            let size = std::str::from_utf8(size).unwrap_or_default().trim();
-            if size.is_empty() || !size.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-                return Err("a chunk without a size");
+            let Some(line_end) = find_line_end(bytes, self.next_chunk)? else { return Ok(None) };
+            let size = parse_chunk_size(&bytes[self.next_chunk..line_end])?;
+            if size > MAX_BODY_BYTES - self.body.len() {
+                return Err("the body of a response is too long");
             }
-            let size = usize::from_str_radix(size, 16).ok();
-            let size = size.filter(|size| *size <= MAX_BODY_BYTES - self.body.len());
-            let size = size.ok_or("the body of a response is too long")?;
-            let at = end + 2;
+            let start = line_end + LINE_END.len();
             if size == 0 {
-                return find_trailers_end(bytes, at);
+                return find_trailers_end(bytes, start);
             }
-            match bytes.get(at + size..at + size + 2) {
+            let end = start + size;
+            match bytes.get(end..end + LINE_END.len()) {
                 None => return Ok(None),
-                Some(b"\r\n") => self.body.extend_from_slice(&bytes[at..at + size]),
+                Some(LINE_END) => self.body.extend_from_slice(&bytes[start..end]),
                 Some(_) => return Err("a chunk does not end where it should"),
             }
-            self.next_chunk = at + size + 2;
+            self.next_chunk = end + LINE_END.len();
         }
     }
 }
 
-/// Where the trailers that begin here end, with an empty line.
-fn find_trailers_end(bytes: &[u8], mut at: usize) -> Result<Option<usize>, &'static str> {
+/// The size in the first line of a chunk, which may have extensions behind it.
+fn parse_chunk_size(line: &[u8]) -> Result<usize, &'static str> {
+    let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let size = std::str::from_utf8(size).unwrap_or_default().trim();
+    if size.is_empty() || !size.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err("a chunk without a size");
+    }
+    usize::from_str_radix(size, 16).map_err(|_| "the body of a response is too long")
+}
+
+/// The end of the trailers that begin at `start`, behind their empty line.
+fn find_trailers_end(bytes: &[u8], mut start: usize) -> Result<Option<usize>, &'static str> {
     loop {
-        let Some(end) = find_line_end(bytes, at)? else { return Ok(None) };
-        let empty = end == at;
-        at = end + 2;
-        if empty {
-            return Ok(Some(at));
+        let Some(line_end) = find_line_end(bytes, start)? else { return Ok(None) };
+        let is_empty = line_end == start;
+        start = line_end + LINE_END.len();
+        if is_empty {
+            return Ok(Some(start));
         }
     }
 }
 
-/// Reads the head of the response that begins at `from`.
-fn parse_head(bytes: &[u8], from: usize) -> Result<Option<Head>, &'static str> {
-    let bytes = bytes.get(from..).unwrap_or_default();
-    let Some(end) = bytes.windows(4).take(MAX_HEAD_BYTES).position(|window| window == b"\r\n\r\n") else {
-        return if bytes.len() >= MAX_HEAD_BYTES {
-            Err("the head of a response is too long")
-        } else {
-            Ok(None)
-        };
+/// The end of the line that begins at `start`.
+fn find_line_end(bytes: &[u8], start: usize) -> Result<Option<usize>, &'static str> {
+    let rest = bytes.get(start..).unwrap_or_default();
+    match rest.windows(LINE_END.len()).take(MAX_HEAD_BYTES).position(|window| window == LINE_END) {
+        Some(length) => Ok(Some(start + length)),
+        None if rest.len() > MAX_HEAD_BYTES => Err("a line is too long"),
+        None => Ok(None),
+    }
+}
+
+/// Parses the head of the response that begins at `start`.
+fn parse_head(bytes: &[u8], start: usize) -> Result<Option<Head>, &'static str> {
+    let bytes = bytes.get(start..).unwrap_or_default();
+    let end = bytes.windows(HEAD_END.len()).take(MAX_HEAD_BYTES).position(|window| window == HEAD_END);
+    let Some(end) = end else {
+        if bytes.len() >= MAX_HEAD_BYTES {
+            return Err("the head of a response is too long");
+        }
+        return Ok(None);
     };
-    let head = std::str::from_utf8(&bytes[..end]).map_err(|_| "the head of a response is no text")?;
-    let mut lines = head.split("\r\n");
-    let mut first = lines.next().unwrap_or_default().splitn(3, ' ');
-    let minor = match first.next() {
-        Some("HTTP/1.1") => 1,
-        Some("HTTP/1.0") => 0,
+    let text = std::str::from_utf8(&bytes[..end]).map_err(|_| "the head of a response is no text")?;
+    let mut lines = text.split("\r\n");
+    let (version, status) = parse_status_line(lines.next().unwrap_or_default())?;
+    let mut headers = Headers::new(version);
+    for line in lines {
+        headers.apply(line)?;
+    }
+    let Headers { keep, body_length, .. } = headers;
+    Ok(Some(Head { status, keep, body_length, body_start: start + end + HEAD_END.len() }))
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Version {
+    Http10,
+    Http11,
+}
+
+fn parse_status_line(line: &str) -> Result<(Version, u16), &'static str> {
+    let mut parts = line.splitn(3, ' ');
+    let version = match parts.next() {
+        Some("HTTP/1.1") => Version::Http11,
+        Some("HTTP/1.0") => Version::Http10,
         _ => return Err("no response of HTTP/1"),
     };
-    let status =
-        first.next().filter(|text| text.len() == 3 && text.bytes().all(|byte| byte.is_ascii_digit()));
-    let status: u16 = status.and_then(|text| text.parse().ok()).ok_or("a response without a status")?;
-    let (mut length, mut keep) = (BodyLength::UntilClose, minor == 1);
-    for line in lines {
+    let status = parts.next().filter(|status| status.len() == 3 && is_decimal(status));
+    let status = status.and_then(|status| status.parse().ok()).ok_or("a response without a status")?;
+    Ok((version, status))
+}
+
+/// What the headers of a response say, as far as they have been read.
+struct Headers {
+    version: Version,
+    keep: bool,
+    body_length: BodyLength,
+}
+
+impl Headers {
+    fn new(version: Version) -> Self {
+        Headers { version, keep: version == Version::Http11, body_length: BodyLength::UntilClose }
+    }
+
+    fn apply(&mut self, line: &str) -> Result<(), &'static str> {
         let (name, value) = line.split_once(':').ok_or("a header without a colon")?;
         let value = value.trim();
-        if name.eq_ignore_ascii_case("content-length") && !matches!(length, BodyLength::Chunked) {
-            if value.is_empty() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
-                return Err("a length that is no number");
-            }
-            let known = value.parse().ok().filter(|length| *length <= MAX_BODY_BYTES);
-            let known: usize = known.ok_or("the body of a response is too long")?;
-            if matches!(length, BodyLength::Known(other) if other != known) {
-                return Err("two lengths that differ");
-            }
-            length = BodyLength::Known(known);
+        if name.eq_ignore_ascii_case("content-length") {
+            self.apply_content_length(value)
         } else if name.eq_ignore_ascii_case("transfer-encoding") {
-            if !value.eq_ignore_ascii_case("chunked") {
-                return Err("an encoding that is not known here");
+            self.apply_transfer_encoding(value)
+        } else {
+            if name.eq_ignore_ascii_case("connection") {
+                self.apply_connection(value);
             }
-            length = BodyLength::Chunked;
-        } else if name.eq_ignore_ascii_case("connection") {
-            let mut options = value.split(',').map(str::trim);
-            keep = if minor == 1 {
-                !options.any(|option| option.eq_ignore_ascii_case("close"))
-            } else {
-                options.any(|option| option.eq_ignore_ascii_case("keep-alive"))
-            };
+            Ok(())
         }
     }
-    Ok(Some(Head { status, keep, length, body_start: from + end + 4 }))
-}
 
-/// Where the line ends that begins here.
-fn find_line_end(bytes: &[u8], at: usize) -> Result<Option<usize>, &'static str> {
-    let rest = bytes.get(at..).unwrap_or_default();
-    match rest.windows(2).take(MAX_HEAD_BYTES).position(|window| window == b"\r\n") {
-        Some(end) => Ok(Some(at + end)),
-        None if rest.len() > MAX_HEAD_BYTES => Err("a line is too long"),
-        None => Ok(None),
+    /// Content-Length counts for nothing behind a Transfer-Encoding.
+    fn apply_content_length(&mut self, value: &str) -> Result<(), &'static str> {
+        if matches!(self.body_length, BodyLength::Chunked) {
+            return Ok(());
+        }
+        if !is_decimal(value) {
+            return Err("a length that is no number");
+        }
+        let length = value.parse().ok().filter(|length| *length <= MAX_BODY_BYTES);
+        let length = length.ok_or("the body of a response is too long")?;
+        if matches!(self.body_length, BodyLength::Known(other) if other != length) {
+            return Err("two lengths that differ");
+        }
+        self.body_length = BodyLength::Known(length);
+        Ok(())
     }
+
+    fn apply_transfer_encoding(&mut self, value: &str) -> Result<(), &'static str> {
+        if !value.eq_ignore_ascii_case("chunked") {
+            return Err("an encoding that is not known here");
+        }
+        self.body_length = BodyLength::Chunked;
+        Ok(())
+    }
+
+    fn apply_connection(&mut self, value: &str) {
+        let has_option = |name: &str| value.split(',').any(|option| option.trim().eq_ignore_ascii_case(name));
+        self.keep = match self.version {
+            Version::Http11 => !has_option("close"),
+            Version::Http10 => has_option("keep-alive"),
+        };
+    }
+}
+
+/// Whether a text is a decimal number without a sign.
+fn is_decimal(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
 }
--- a/crates/gateway/src/protocol/mod.rs
+++ b/crates/gateway/src/protocol/mod.rs
@@ -1,4 +1,4 @@
-//! What is said on the sockets: bytes to meaning and back. Nothing here reads or writes any.
+//! The wire protocols of the gateway: bytes to meaning and back, without input or output.
 
 pub mod call;
 pub mod catalog;
@@ -6,5 +6,5 @@
 pub mod operator;
 pub mod resp;
 
-/// A message and how many bytes it took, or `None` while its end has not come; else why it never can.
+/// A message and its length in bytes, or `None` while its end has not come; else why the bytes can't be a message.
 pub type Scanned<T> = Result<Option<(T, usize)>, &'static str>;
