Operators' calls are parsed by a table of routes, with each public item documented

Need: paths and methods were matched three times in one function. Change: an enum of the routes has each path and its method once; status phrases have a function; constants say their unit.

--- a/crates/gateway/src/protocol/operator.rs
+++ b/crates/gateway/src/protocol/operator.rs
@@ -1,12 +1,15 @@
-//! Operators' calls over HTTP/1.1: bytes to meaning and back, one call to a connection.
+//! Operators' calls over HTTP/1.1, one on each connection: a call is parsed, a response written.
 
 use fernscale_policy::Id;
 
-/// Longest head of a call, and longest body: an id has some tens of bytes.
+/// The longest head of a call, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// The longest body of a call, in bytes: an id has some tens.
 const MAX_BODY_BYTES: usize = 1024;
-/// No call is longer, with the blanks that may stand round its id.
+/// No call is longer, in bytes, with the blanks that may stand around its id.
 pub const MAX_MESSAGE_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
+/// The line end of the last header, and the empty line behind it.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// What an operator wants.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,10 +24,12 @@
     Uncordon(Id),
 }
 
-/// Why a call is rejected: an HTTP status, and a line that names what is wrong.
+/// Why a call is rejected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rejection {
+    /// The HTTP status of the response.
     pub status: u16,
+    /// What is wrong, in one line.
     pub reason: String,
 }
 
@@ -34,6 +39,34 @@
     }
 }
 
+/// The paths that are served.
+#[derive(Clone, Copy)]
+enum Route {
+    Health,
+    Stats,
+    Cordon,
+    Uncordon,
+}
+
+impl Route {
+    fn from_path(path: &str) -> Option<Self> {
+        match path {
+            "/admin/health" => Some(Route::Health),
+            "/admin/stats" => Some(Route::Stats),
+            "/admin/cordon" => Some(Route::Cordon),
+            "/admin/uncordon" => Some(Route::Uncordon),
+            _ => None,
+        }
+    }
+
+    fn method(self) -> &'static str {
+        match self {
+            Route::Health | Route::Stats => "GET",
+            Route::Cordon | Route::Uncordon => "POST",
+        }
+    }
+}
+
 /// The head of a call.
 struct Head<'a> {
     method: &'a str,
@@ -53,32 +86,32 @@
     let bytes = &bytes[leading_line_ends..];
     let Some(end) = find_head_end(bytes)? else { return Ok(None) };
     let head = parse_head(&bytes[..end])?;
-    let expected_method = match head.path {
-        "/admin/health" | "/admin/stats" => "GET",
-        "/admin/cordon" | "/admin/uncordon" => "POST",
-        _ => {
-            let reason = "no such path; there are /admin/health, stats, cordon, uncordon";
-            return Err(Rejection::new(404, reason));
-        }
+    let route = parse_route(&head)?;
+    let body = &bytes[end + HEAD_END.len()..];
+    let server = || parse_server(body, head.content_length);
+    Ok(match route {
+        Route::Health => Some(OperatorCall::Health),
+        Route::Stats => Some(OperatorCall::Stats),
+        Route::Cordon => server()?.map(OperatorCall::Cordon),
+        Route::Uncordon => server()?.map(OperatorCall::Uncordon),
+    })
+}
+
+fn parse_route(head: &Head) -> Result<Route, Rejection> {
+    let Some(route) = Route::from_path(head.path) else {
+        return Err(Rejection::new(404, "no such path; there are /admin/health, stats, cordon, uncordon"));
     };
-    if head.method != expected_method {
-        return Err(Rejection::new(405, format!("{} takes {expected_method}", head.path)));
+    if head.method != route.method() {
+        return Err(Rejection::new(405, format!("{} takes {}", head.path, route.method())));
     }
-    match head.path {
-        "/admin/health" => return Ok(Some(OperatorCall::Health)),
-        "/admin/stats" => return Ok(Some(OperatorCall::Stats)),
-        _ => {}
-    }
-    let Some(server) = parse_server(&bytes[end + 4..], head.content_length)? else { return Ok(None) };
-    Ok(Some(match head.path {
-        "/admin/cordon" => OperatorCall::Cordon(server),
-        _ => OperatorCall::Uncordon(server),
-    }))
+    Ok(route)
 }
 
-/// Where the head ends, before its empty line; `None` while that has not come.
+/// The end of the last header; `None` while the head has not come complete.
 fn find_head_end(bytes: &[u8]) -> Result<Option<usize>, Rejection> {
-    if let Some(end) = bytes.windows(4).take(MAX_HEAD_BYTES).position(|window| window == b"\r\n\r\n") {
+    if let Some(end) =
+        bytes.windows(HEAD_END.len()).take(MAX_HEAD_BYTES).position(|window| window == HEAD_END)
+    {
         return Ok(Some(end));
     }
     // What can't be a call is rejected at once, so that nobody waits for the rest of it.
@@ -144,9 +177,19 @@
     Ok(Some(Id::from(id)))
 }
 
-/// A complete response, after which the connection ends.
+/// Writes a complete response, after which the connection ends.
 pub fn write_response(status: u16, body: &str) -> Vec<u8> {
-    let reason = match status {
+    let reason = reason_phrase(status);
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+         Connection: close\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
@@ -156,11 +199,5 @@
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         _ => "Service Unavailable",
-    };
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
-         Connection: close\r\n\r\n{body}"
-    )
-    .into_bytes()
+    }
 }
