A request counts from when it came, not from when a process that stood still reads it

A server was told 1,190 ms by a gateway that had stood still for 0.5 s with the request unread, of which the client had 700 left: more than 0.15 s over breaks the platform's rule, and work is done that nobody waits for.

Cause: both times began when the command was read.

--- a/crates/gateway/src/downstream/commands.rs
+++ b/crates/gateway/src/downstream/commands.rs
@@ -82,7 +82,10 @@
         let open = OpenRequest { id, ticket, client_gone: call.client_gone.clone() };
         let number = self.pipeline.push_open(open, class);
         let reply = ReplyHandle { ticket, number, to: self.reply_sender.clone(), places };
-        let received = ReceivedRequest { call, reply, received_at: Instant::now() };
+        // Danger: a process that stood still would tell a server more time than the client has left.
+        let now = Instant::now();
+        let received_at = now.checked_sub(self.input_delay).unwrap_or(now);
+        let received = ReceivedRequest { call, reply, received_at };
         drop(self.context.events.send(Event::RequestReceived(received)).await);
     }
 
@@ -93,7 +96,10 @@
         }
         let shared = &self.context.shared;
         // Danger: a client that sends on a busy connection without end would keep a gateway from shutting down.
-        if shared.shutting_down_since.get().is_some_and(|since| since.elapsed() >= SHUTDOWN_ACCEPT_PERIOD) {
+        // A request counts from when it came, not from when a process that stood still reads it.
+        let received_after = |since: Instant| since.elapsed().saturating_sub(self.input_delay);
+        let shutting_down_since = shared.shutting_down_since.get();
+        if shutting_down_since.is_some_and(|since| received_after(since) >= SHUTDOWN_ACCEPT_PERIOD) {
             return Err(EarlyRejection::ShuttingDown);
         }
         let open = shared.limits.open.reserve(1).ok_or(EarlyRejection::NoRequestSlot)?;
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -47,6 +47,8 @@
     /// False where there are only the descriptors to reject what comes.
     pub(super) is_served: bool,
     accepted_at: Instant,
+    /// For how long what was read last had waited for this process.
+    pub(super) input_delay: Duration,
     pub(super) pipeline: Pipeline,
     /// Where the dispatcher sends final replies.
     pub(super) reply_sender: Sender<NumberedReply>,
@@ -77,6 +79,7 @@
             number,
             is_served,
             accepted_at: Instant::now(),
+            input_delay: Duration::ZERO,
             pipeline: Pipeline::default(),
             reply_sender,
             replies,
@@ -122,6 +125,8 @@
     /// Handles the commands that have come, writes the replies that are ready, and handles the next input.
     async fn serve_next(&mut self) -> Result<(), ConnectionEnd> {
         self.handle_commands().await?;
+        // What is still in the buffer then waits for its turn, or for its rest.
+        self.input_delay = Duration::ZERO;
         let buffered = self.connection.buffer.filled().len();
         let was_full = self.pipeline.is_full();
         self.write_replies().await?;
@@ -163,7 +168,10 @@
                 self.pipeline.complete(number, reply, reservations);
                 Ok(())
             }
-            Input::Read(Ok(())) => Ok(()),
+            Input::Read(Ok(())) => {
+                self.input_delay = self.connection.unread_time();
+                Ok(())
+            }
             Input::Read(Err(ConnectionEnd::Garbled)) => self.fail_protocol("the command is too long").await,
             Input::Read(Err(ConnectionEnd::NoMemory)) => {
                 self.reject_unread();
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -143,11 +143,17 @@
         if waited < MIN_READ_DELAY {
             return Duration::ZERO;
         }
-        let delay = time_since_arrival(self.stream.get_ref()).unwrap_or_default();
-        if delay < MIN_READ_DELAY {
-            return Duration::ZERO;
+        self.unread_time().min(waited)
+    }
+
+    /// For how long what has just been read had lain in the system. Zero where the system does not say, or hardly any.
+    pub fn unread_time(&self) -> Duration {
+        let time = time_since_arrival(self.stream.get_ref()).unwrap_or_default();
+        if time < MIN_READ_DELAY {
+            Duration::ZERO
+        } else {
+            time
         }
-        delay.min(waited)
     }
 
     /// Nothing has come that is not in the buffer; false, too, once the other side has closed it.
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -2,20 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
-use async_io::Timer;
+use async_io::{Async, Timer};
 use fernscale_gateway::dispatcher::Dispatcher;
+use fernscale_gateway::downstream::Listener;
 use fernscale_gateway::operator::metrics::Metrics;
 use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
 use fernscale_gateway::protocol::catalog::EndpointUpdate;
+use fernscale_gateway::protocol::resp;
 use fernscale_gateway::shared::{Event, FinalReply, ReceivedRequest, ReplyHandle, Shared};
 use fernscale_gateway::transport::clock::Clock;
 use fernscale_gateway::transport::limits::Limits;
@@ -113,6 +115,8 @@
     calls: Arc<AtomicUsize>,
     /// What each of them takes for a call, in milliseconds.
     service_time_ms: Arc<AtomicU64>,
+    /// The call that came last, as it was written.
+    last_call: Arc<Mutex<String>>,
 }
 
 impl Servers {
@@ -121,6 +125,7 @@
             addresses: Vec::new(),
             calls: Arc::default(),
             service_time_ms: Arc::new(AtomicU64::new(SERVICE_TIME.as_millis() as u64)),
+            last_call: Arc::default(),
         };
         servers.addresses = (0..count).map(|_| servers.start_one()).collect();
         servers
@@ -134,7 +139,10 @@
             for mut stream in listener.incoming().flatten() {
                 let servers = servers.clone();
                 thread::spawn(move || {
-                    while let Ok(1..) = stream.read(&mut [0; 1024]) {
+                    let mut bytes = [0; 1024];
+                    while let Ok(count @ 1..) = stream.read(&mut bytes) {
+                        let call = String::from_utf8_lossy(&bytes[..count]).into_owned();
+                        *servers.last_call.lock().expect("the last call") = call;
                         servers.calls.fetch_add(1, Ordering::SeqCst);
                         thread::sleep(Duration::from_millis(servers.service_time_ms.load(Ordering::SeqCst)));
                         let _ = stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n");
@@ -334,3 +342,59 @@
         assert_eq!(refusals, [0, 0, 0], "servers that stood still for {standstill:?}");
     }
 }
+
+/// What a client is answered that asks a second time while the gateway stands still, and the time in milliseconds that the server
+/// was told to have. Something may happen right before the standstill.
+fn asked_in_a_standstill(standstill: Duration, before: impl FnOnce(&Shared, Sender<()>)) -> (String, u64) {
+    let servers = Servers::start(1);
+    let answer = Gateway::run(&servers, async |gateway| {
+        let (stop_accepting, shutdown) = async_channel::bounded(1);
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let address = listener.get_ref().local_addr().expect("an address");
+        let accepts = Listener::new(&gateway.shared, &gateway.events, shutdown);
+        gateway.shared.executor.spawn(async move { accepts.run(&listener).await }).detach();
+        let (go_on, may_go_on) = mpsc::channel();
+        let (asked, answers) = async_channel::bounded(2);
+        let client = thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).expect("connected");
+            let mut answer = [0; 1024];
+            for id in [&b"t1"[..], b"t2"] {
+                let words = [&b"CALL.GET"[..], b"00000000b4d65521", id, b"c=read,t=team,d=1200"];
+                stream.write_all(&resp::write_command(&words)).expect("written");
+                let count = stream.read(&mut answer).expect("an answer");
+                let text = String::from_utf8_lossy(&answer[..count]).into_owned();
+                asked.send_blocking(text).expect("heard");
+                let _ = may_go_on.recv();
+            }
+        });
+        answers.recv().await.expect("the first answer");
+        before(&gateway.shared, stop_accepting);
+        go_on.send(()).expect("the client waits");
+        thread::sleep(standstill);
+        let answer = answers.recv().await.expect("the second answer");
+        drop(go_on);
+        client.join().expect("it ends");
+        answer
+    });
+    let call = servers.last_call.lock().expect("the last call").clone();
+    let told = call.split("d=").nth(1).and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next());
+    (answer, told.and_then(|told| told.parse().ok()).expect("a time"))
+}
+
+/// Guards against a server being told more time than its client has left: more than 0.15 s over breaks the platform's rule.
+#[test]
+fn a_server_is_told_what_the_client_has_left_though_its_request_was_read_late() {
+    let (answer, told) = asked_in_a_standstill(Duration::from_millis(500), |_, _| {});
+    assert_eq!(answer, "$1\r\nv\r\n");
+    assert!(told <= 1_200 - 500 + 150, "{told} ms");
+}
+
+/// Guards against a request rejected as too late in a shutdown that came at its very beginning, and was read after a standstill.
+#[test]
+fn a_request_that_came_early_in_a_shutdown_is_served_though_it_is_read_late() {
+    let (answer, _) = asked_in_a_standstill(Duration::from_millis(900), |shared, stop_accepting| {
+        shared.shutting_down_since.set(Some(Instant::now()));
+        stop_accepting.close();
+    });
+    assert_eq!(answer, "$1\r\nv\r\n");
+}
