No attempt is made for a request whose time ran out while its gateway stood still

In a debug build the time of the attempt underflowed and the dispatcher ended; in a release build, which does not check, the limit became endless, and a cancel followed at once (4 calls at the server, as without it).

--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -117,15 +117,22 @@
     service_time_ms: Arc<AtomicU64>,
     /// The call that came last, as it was written.
     last_call: Arc<Mutex<String>>,
+    /// The length of the values that they answer with.
+    value_length: usize,
 }
 
 impl Servers {
     fn start(count: usize) -> Self {
+        Servers::with_values(count, 1)
+    }
+
+    fn with_values(count: usize, value_length: usize) -> Self {
         let mut servers = Servers {
             addresses: Vec::new(),
             calls: Arc::default(),
             service_time_ms: Arc::new(AtomicU64::new(SERVICE_TIME.as_millis() as u64)),
             last_call: Arc::default(),
+            value_length,
         };
         servers.addresses = (0..count).map(|_| servers.start_one()).collect();
         servers
@@ -145,7 +152,9 @@
                         *servers.last_call.lock().expect("the last call") = call;
                         servers.calls.fetch_add(1, Ordering::SeqCst);
                         thread::sleep(Duration::from_millis(servers.service_time_ms.load(Ordering::SeqCst)));
-                        let _ = stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n");
+                        let (length, value) = (servers.value_length, "v".repeat(servers.value_length));
+                        let answer = format!("*3\r\n${length}\r\n{value}\r\n$-1\r\n$-1\r\n");
+                        let _ = stream.write_all(answer.as_bytes());
                     }
                 });
             }
@@ -303,14 +312,39 @@
 /// Guards against an answer that came in time, and is read late, losing to the timer that gives its request up.
 #[test]
 fn an_answer_that_came_in_time_reaches_its_client_though_its_timer_has_expired() {
-    let servers = Servers::start(SERVERS);
-    let refusals = Gateway::run(&servers, async |gateway| {
-        let before = gateway.rounds(ROUNDS_BEFORE).await;
-        let during = gateway.ask(CLIENTS, Duration::from_millis(300));
-        gateway.stand_still(&servers, (ROUNDS_BEFORE + 1) * CLIENTS, Duration::from_millis(400)).await;
-        [before, refused(during).await]
-    });
-    assert_eq!(refusals, [0, 0]);
+    // Values that one read of the gateway's takes, and values that take several.
+    for value_length in [1, 4_000, 40_000] {
+        let servers = Servers::with_values(SERVERS, value_length);
+        let refusals = Gateway::run(&servers, async |gateway| {
+            let before = gateway.rounds(ROUNDS_BEFORE).await;
+            let during = gateway.ask(CLIENTS, Duration::from_millis(300));
+            gateway.stand_still(&servers, (ROUNDS_BEFORE + 1) * CLIENTS, Duration::from_millis(400)).await;
+            [before, refused(during).await]
+        });
+        assert_eq!(refusals, [0, 0], "values of {value_length} bytes");
+    }
+}
+
+/// Guards against a request that waited through a standstill beyond its time being sent all the same, with an endless limit.
+#[test]
+fn a_request_whose_time_ran_out_in_a_standstill_is_sent_to_no_server() {
+    for (client_time, standstill) in [(300, 400), (200, 230), (200, 195)] {
+        let servers = Servers::start(1);
+        let (client_time, standstill) =
+            (Duration::from_millis(client_time), Duration::from_millis(standstill));
+        let refusals = Gateway::run(&servers, async |gateway| {
+            let during = gateway.ask(6, client_time);
+            gateway.stand_still(&servers, 4, standstill).await;
+            let refusals = refused(during).await;
+            Timer::after(5 * SERVICE_TIME).await;
+            refusals
+        });
+        assert_eq!(
+            (refusals, servers.calls()),
+            (2, 4),
+            "{client_time:?} left, a standstill of {standstill:?}"
+        );
+    }
 }
 
 /// Guards against requests that waited for a server through a standstill being given up for that wait, with servers free.
--- a/crates/policy/src/deadline.rs
+++ b/crates/policy/src/deadline.rs
@@ -122,7 +122,12 @@
     deadline - DEADLINE_MARGIN
 }
 
+/// Whether it is too late for an attempt: the request has expired, though its timer may not have fired yet.
+pub fn is_too_late_for_attempt(deadline: Micros, now: Micros) -> bool {
+    now + DEADLINE_MARGIN >= deadline
+}
+
 /// The time limit of an attempt that is sent now.
 pub fn attempt_time_limit(deadline: Micros, now: Micros) -> Micros {
-    deadline - DEADLINE_MARGIN / 2 - now
+    (deadline - DEADLINE_MARGIN / 2).saturating_sub(now)
 }
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -2,7 +2,7 @@
 
 use super::Engine;
 use crate::admission::AdmissionCheck;
-use crate::deadline::{attempt_expiry, attempt_time_limit};
+use crate::deadline::{attempt_expiry, attempt_time_limit, is_too_late_for_attempt};
 use crate::event::{AttemptCompleted, Id, Micros, Outcome};
 use crate::host::Host;
 use crate::in_flight::Attempt;
@@ -54,7 +54,13 @@
     /// Forwards what waits, the highest priority first, as far as servers have capacity.
     pub(super) fn forward_queued(&mut self, now: Micros) {
         while let Some(id) = self.queue.first().cloned() {
-            let class = self.in_flight[&id].request.class;
+            let in_flight = &self.in_flight[&id];
+            // Danger: a host that was held up reports ends of attempts before the timers that expired meanwhile.
+            if is_too_late_for_attempt(in_flight.deadline, now) {
+                self.give_up(&id, RejectReason::NoServer);
+                continue;
+            }
+            let class = in_flight.request.class;
             let Some(server) = self.select_server(class, &[], now) else { return };
             self.queue.pop_first();
             self.forward(&id, server, now);
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -256,3 +256,39 @@
         assert_eq!(rejected_requests(&actions).len(), rejected, "answers take {latency} us");
     }
 }
+
+/// Guards against answers that are known to have lain unread for nearly all of their time passing for instant ones: the latency of an
+/// idle fleet would fall, and what is usual would look slow.
+#[test]
+fn answers_read_late_do_not_make_servers_look_faster_than_they_are() {
+    let mut fixture = Fixture::new(settings(Idempotency::Idempotent, wide()), 4);
+    let mut round = |read_late: bool| {
+        (0..8).for_each(|_| drop(fixture.request("c", 2_000 * MS)));
+        let sent = sends(&fixture.take_actions());
+        for (id, server) in &sent {
+            let (took, read_delay) = if read_late { (900 * MS, 900 * MS) } else { (100 * MS, 0) };
+            fixture.end_read_late(id, 0, server, Outcome::Ok, took, read_delay);
+        }
+        complete_all(&mut fixture, |_| 100 * MS);
+        fixture.pass(100 * MS);
+        sent.len()
+    };
+    let mut sent = |rounds: usize, read_late: bool| (0..rounds).map(|_| round(read_late)).sum::<usize>();
+    sent(40, false);
+    assert_eq!([sent(40, true), sent(40, false)], [8 * 40, 8 * 40]);
+}
+
+/// Guards against an attempt for a request whose time has run out, where a gateway that was held up hears of a free server before it
+/// hears of the time.
+#[test]
+fn a_queued_request_whose_time_has_run_out_is_rejected_and_not_sent() {
+    let mut fixture = Fixture::new(settings(Idempotency::Idempotent, wide()), 1);
+    let requests: Vec<Id> = (0..4).map(|_| fixture.request("c", 200 * MS)).collect();
+    let sent = sends(&fixture.take_actions());
+    assert_eq!(sent.len(), 2);
+    fixture.host.0.borrow_mut().now += 300 * MS;
+    fixture.end(&sent[0].0, 0, &sent[0].1, Outcome::Ok, 300 * MS);
+    let actions = fixture.take_actions();
+    assert_eq!(sends(&actions), []);
+    assert_eq!(rejected_requests(&actions), requests[2..]);
+}
