What an answer has in the system already is read before its time is up

The first read took 1 KiB; the next waits for a look at the sockets, and the timer was over by then. The server was charged with a timeout it had no part in. Found by the review.

Change: a message whose time is up is first read as far as it has come, and a read that fills its room is followed by another at once. Beside it, by the same review: an attempt whose time is over before its first byte is not begun, and not held against its server; the time passed on leaves out what the order waited and its connection took to come up; a cancelled attempt is timed as any other; an answer that counts as complete because its rest never came is not taken for read late.

--- a/crates/gateway/src/transport/buffer.rs
+++ b/crates/gateway/src/transport/buffer.rs
@@ -33,6 +33,11 @@
         self.start == self.end
     }
 
+    /// Whether the last bytes that came took all the room that there was.
+    pub fn is_full(&self) -> bool {
+        self.end == self.bytes.len() && !self.is_empty()
+    }
+
     /// Since when the message at the front has been coming; none if none has begun.
     pub fn since(&self) -> Option<Instant> {
         (!self.is_empty()).then_some(self.since)
--- a/crates/gateway/src/transport/clock.rs
+++ b/crates/gateway/src/transport/clock.rs
@@ -179,7 +179,7 @@
     Timer::after(BETWEEN_SLICES).await;
 }
 
-/// Waits until all that has come on sockets by now has been handled by the tasks that wait for it.
+/// Waits until the tasks that wait for sockets have been woken by what has come on these by now, and have run once.
 pub async fn yield_to_arrivals() {
     yield_between_slices().await;
     // Tasks that the same look at the sockets has woken run before this one does again.
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -124,15 +124,41 @@
         until: Instant,
         piece: Duration,
     ) -> Result<T, ConnectionEnd> {
+        let mut takes_rest = false;
         loop {
             if let Some((message, length)) = scan(self.buffer.filled()).map_err(|_| ConnectionEnd::Garbled)? {
                 self.buffer.consume(length);
                 return Ok(message);
             }
-            match self.buffer.since().map(|since| since + piece).filter(|torn| *torn < until) {
-                Some(torn) => within(torn, ConnectionEnd::Garbled, self.read()).await?,
-                None => within(until, ConnectionEnd::Silent, self.read()).await?,
+            if takes_rest && self.read_available()? {
+                continue;
             }
+            let read = match self.buffer.since().map(|since| since + piece).filter(|torn| *torn < until) {
+                Some(torn) => within(torn, ConnectionEnd::Garbled, self.read()).await,
+                None => within(until, ConnectionEnd::Silent, self.read()).await,
+            };
+            // What has filled the room, or is read late, may have its rest in the system already. It came in time.
+            takes_rest = self.buffer.is_full();
+            match read {
+                Err(ConnectionEnd::Garbled | ConnectionEnd::Silent) if self.read_available()? => {
+                    takes_rest = true;
+                }
+                other => other?,
+            }
+        }
+    }
+
+    /// Reads what has come, without waiting. False where nothing has.
+    fn read_available(&mut self) -> Result<bool, ConnectionEnd> {
+        let room = self.buffer.spare()?;
+        match uninterrupted(|| (&mut self.stream.get_ref()).read(room)) {
+            Ok(0) => Err(ConnectionEnd::Closed),
+            Ok(count) => {
+                self.buffer.advance(count);
+                Ok(true)
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(false),
+            Err(_) => Err(ConnectionEnd::Broken),
         }
     }
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -14,7 +14,7 @@
 use crate::protocol::resp::{self, Opening, Reply};
 use crate::protocol::Scanned;
 use crate::shared::{Event, Piece, ResponseStream};
-use crate::transport::clock::boottime;
+use crate::transport::clock::{boottime, micros};
 use crate::transport::connection::{within, Connection};
 use crate::transport::ending::ConnectionEnd;
 
@@ -48,10 +48,11 @@
         created_at: Instant,
     ) -> Result<ServedAttempt, AttemptFailure> {
         let until = created_at + Duration::from_micros(limit);
-        let command = call.command(limit);
+        // What the order waited, and its connection took to come up, its client does not have any more.
+        let command = || call.command(micros(until.saturating_duration_since(Instant::now())).min(limit));
         let scan = |bytes: &[u8], ended: bool| call::came(bytes, ended, self.load_fields());
         let Exchanged { reply, connection, read_delay } =
-            self.exchange(&command, until, Some(call), scan).await?;
+            self.exchange(command, until, Some(call), scan).await?;
         let (reply, load) = match reply {
             Came::Whole(reply) => {
                 self.pool.release(connection);
@@ -67,13 +68,13 @@
     /// Asks the server whether it is there.
     pub(super) async fn check_health(&self) -> Result<LoadReport, AttemptFailure> {
         let until = Instant::now() + self.message_timeout();
-        let command = resp::write_command(&[b"PING"]);
+        let command = || resp::write_command(&[b"PING"]);
         let scan = |bytes: &[u8], _ended: bool| match resp::reply(bytes)? {
             Some((Reply::Simple(_), length)) => Ok(Some((LoadReport::default(), length))),
             Some(_) => Err("no good word"),
             None => Ok(None),
         };
-        let Exchanged { reply, connection, .. } = self.exchange(&command, until, None, scan).await?;
+        let Exchanged { reply, connection, .. } = self.exchange(command, until, None, scan).await?;
         self.pool.release(connection);
         Ok(reply)
     }
@@ -92,7 +93,7 @@
     /// `scan` is given what has come, and whether no more will.
     async fn exchange<T>(
         &self,
-        command: &[u8],
+        command: impl FnOnce() -> Vec<u8>,
         until: Instant,
         call: Option<&Call>,
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
@@ -102,20 +103,29 @@
         let Checkout { connection, idle_for } = checkout.await.map_err(AttemptFailure::unsent)?;
         let dial_delay = if idle_for.is_none() { connection.read_delay(began_at) } else { Duration::ZERO };
         // There must be no await between this check and the first byte.
-        if let Err(how) = self.check_may_begin(&connection, call) {
+        if let Err(how) = self.check_may_begin(&connection, until, call) {
             if how == ConnectionEnd::Unwanted {
                 self.pool.release(connection);
             }
             return Err(AttemptFailure::unsent(how));
         }
-        let end = self.exchange_on(connection, command, until, call, scan).await;
+        let end = self.exchange_on(connection, &command(), until, call, scan).await;
         self.pool.adjust_idle_limit(idle_for, &end);
         end.map(|exchanged| Exchanged { read_delay: dial_delay + exchanged.read_delay, ..exchanged })
     }
 
     /// Whether the first byte may still be written on this connection. What held when an attempt was created may not hold once
     /// it has waited for this actor, or for its connection.
-    fn check_may_begin(&self, connection: &Connection, call: Option<&Call>) -> Result<(), ConnectionEnd> {
+    fn check_may_begin(
+        &self,
+        connection: &Connection,
+        until: Instant,
+        call: Option<&Call>,
+    ) -> Result<(), ConnectionEnd> {
+        // Danger: this process was suspended, and nobody waits for what the server would do.
+        if Instant::now() >= until {
+            return Err(ConnectionEnd::Unwanted);
+        }
         // Danger: the client has disconnected meanwhile. To begin nothing is not a cancellation, and always allowed.
         if call.is_some_and(|call| call.client_gone.get()) {
             return Err(ConnectionEnd::Unwanted);
@@ -152,14 +162,17 @@
             self.shared.metrics.attempt_forwarded();
         }
         let received = connection.message(|bytes| scan(bytes, false), until, self.message_timeout()).await;
-        let read_delay = connection.read_delay(written_at);
         match received {
-            Ok(reply) => Ok(Exchanged { reply, connection, read_delay }),
+            Ok(reply) => {
+                let read_delay = connection.read_delay(written_at);
+                Ok(Exchanged { reply, connection, read_delay })
+            }
             Err(how) => match scan(connection.buffer.filled(), true) {
                 // All that matters has come, and the connection can't be used again.
                 Ok(Some((reply, _))) => {
                     connection.spoilt = true;
-                    Ok(Exchanged { reply, connection, read_delay })
+                    // The wait for what was missing is the server's.
+                    Ok(Exchanged { reply, connection, read_delay: Duration::ZERO })
                 }
                 _ => Err(AttemptFailure::unanswered(how)),
             },
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -54,7 +54,7 @@
 /// An attempt in flight.
 struct RunningAttempt {
     task: Task<()>,
-    created_at: Instant,
+    began_at: Instant,
 }
 
 /// The actor's state, shared with the tasks of its attempts.
@@ -132,13 +132,21 @@
     fn start_attempt(self: &Rc<Self>, call: Rc<Call>, attempt: usize, limit: Micros, created_at: Instant) {
         let key = (call.request.id.clone(), attempt);
         let upstream = self.clone();
-        let task = self.shared.executor.spawn(upstream.run_attempt(call, attempt, limit, created_at));
-        self.attempts.borrow_mut().insert(key, RunningAttempt { task, created_at });
-    }
-
-    async fn run_attempt(self: Rc<Self>, call: Rc<Call>, attempt: usize, limit: Micros, created_at: Instant) {
         // What the order waited for this process is not the server's time.
         let began_at = Instant::now();
+        let task =
+            self.shared.executor.spawn(upstream.run_attempt(call, attempt, limit, created_at, began_at));
+        self.attempts.borrow_mut().insert(key, RunningAttempt { task, began_at });
+    }
+
+    async fn run_attempt(
+        self: Rc<Self>,
+        call: Rc<Call>,
+        attempt: usize,
+        limit: Micros,
+        created_at: Instant,
+        began_at: Instant,
+    ) {
         let served = self.forward(&call, attempt, limit, created_at).await;
         let request = call.request.id.clone();
         // Danger: an attempt that were still listed here could be cancelled now, and would be completed twice.
@@ -156,14 +164,14 @@
     /// Closes the attempt's connection, and only then reports its end.
     async fn cancel_attempt(&self, request: Id, attempt: usize) {
         let running = self.attempts.borrow_mut().remove(&(request.clone(), attempt));
-        let Some(RunningAttempt { task, created_at }) = running else { return };
+        let Some(RunningAttempt { task, began_at }) = running else { return };
         task.cancel().await;
         let completed = CompletedAttempt {
             request,
             attempt,
             server: self.server.clone(),
             end: Err(AttemptFailure::unsent(ConnectionEnd::GivenUp)),
-            elapsed: micros(created_at.elapsed()),
+            elapsed: micros(began_at.elapsed()),
             read_delay: 0,
         };
         // Danger: the dispatcher waits for this actor's mailbox at times, so this actor must never wait for the dispatcher's.
