--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -1,6 +1,7 @@
 //! Single actors, without a process round them.
 
-use std::cell::{Cell, RefCell};
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -8,21 +9,18 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use fernscale_gateway::counter::{Counter, CounterUpdate};
 use fernscale_gateway::discovery::draining::DrainingEndpoints;
 use fernscale_gateway::discovery::{self, DiscoveryActor};
-use fernscale_gateway::operator::metrics::Metrics;
 use fernscale_gateway::outcome::{of_attempt, of_counter_call};
 use fernscale_gateway::protocol::call::{self, Command};
 use fernscale_gateway::protocol::catalog::{self, EndpointUpdate};
 use fernscale_gateway::shared::{Event, Shared};
 use fernscale_gateway::transport::buffer::Buffer;
-use fernscale_gateway::transport::clock::{follow, Clock};
+use fernscale_gateway::transport::clock::follow;
 use fernscale_gateway::transport::connection::Connection;
 use fernscale_gateway::transport::ending::ConnectionEnd;
-use fernscale_gateway::transport::limits::Limits;
 use fernscale_gateway::upstream::{self, Order};
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::Outcome;
@@ -33,38 +31,14 @@
 
 /// `agent`: the list comes from an agent of the gateway's own.
 fn shared_with(agent: bool) -> Rc<Shared> {
-    Rc::new(Shared {
-        executor: Rc::new(LocalExecutor::new()),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        clock: Clock::start(),
-        limits: Limits::new(1024, 192, 0),
-        platform: PlatformSettings {
-            counter_timeout: 50_000,
-            connect_timeout: 250_000,
-            max_client_wait: 1_000_000,
-            max_units: 1e6,
-            list_is_pushed: agent,
-            ..PlatformSettings::default()
-        },
-        metrics: Metrics::new(&[]),
-        cordoned: RefCell::default(),
-        start_times: RefCell::default(),
-        draining: RefCell::default(),
-        limits_lowered: Default::default(),
-        endpoints_fresh_until: Cell::new(u64::MAX),
-        ready: Cell::new(true),
-        listening: Cell::new(true),
-        shutting_down_since: Cell::new(None),
-        next_protocol_error: Cell::new(Instant::now()),
-        next_ticket: Cell::new(0),
-        hot_restart: Default::default(),
-        joins_membership: false,
-        undelivered_updates: Default::default(),
-        membership: Default::default(),
-        leases: Default::default(),
-        subsetting: Default::default(),
-        outlier_detection: Default::default(),
-    })
+    Rc::new(support::shared(PlatformSettings {
+        counter_timeout: 50_000,
+        connect_timeout: 250_000,
+        max_client_wait: 1_000_000,
+        max_units: 1e6,
+        list_is_pushed: agent,
+        ..PlatformSettings::default()
+    }))
 }
 
 /// A counter that answers the call at each place after so many milliseconds, with these bytes.
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -1,6 +1,7 @@
 //! A gateway whose one thread stands still for a while, among servers and clients that don't.
 
-use std::cell::{Cell, RefCell};
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -10,17 +11,14 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::{Async, Timer};
 use fernscale_gateway::dispatcher::Dispatcher;
 use fernscale_gateway::downstream::Listener;
-use fernscale_gateway::operator::metrics::Metrics;
 use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
 use fernscale_gateway::protocol::catalog::EndpointUpdate;
 use fernscale_gateway::protocol::resp;
 use fernscale_gateway::shared::{Event, FinalReply, ReceivedRequest, ReplyHandle, Shared};
-use fernscale_gateway::transport::clock::Clock;
-use fernscale_gateway::transport::limits::Limits;
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::{Endpoint, EndpointState, Id, Idempotency, Plan, RequestClass, Settings};
 
@@ -80,31 +78,7 @@
 }
 
 fn shared() -> Rc<Shared> {
-    Rc::new(Shared {
-        executor: Rc::new(LocalExecutor::new()),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        clock: Clock::start(),
-        limits: Limits::new(1024, 192, 0),
-        platform: platform(),
-        metrics: Metrics::new(&["read".into()]),
-        cordoned: RefCell::default(),
-        start_times: RefCell::default(),
-        draining: RefCell::default(),
-        limits_lowered: Default::default(),
-        endpoints_fresh_until: Cell::new(u64::MAX),
-        ready: Cell::new(true),
-        listening: Cell::new(true),
-        shutting_down_since: Cell::new(None),
-        next_protocol_error: Cell::new(Instant::now()),
-        next_ticket: Cell::new(0),
-        hot_restart: Default::default(),
-        joins_membership: false,
-        undelivered_updates: Default::default(),
-        membership: Default::default(),
-        leases: Default::default(),
-        subsetting: Default::default(),
-        outlier_detection: Default::default(),
-    })
+    Rc::new(support::shared(platform()))
 }
 
 /// Servers with a thread of their own for each connection.
