The servers of the standstill tests read commands one by one, and answer SELECT

They took each read for a call, whatever was in it. The protocol's page has commands one behind another and answers SELECT with +OK at once; the gateway is about to write one behind calls whose values are equal, as all values of these servers are. Checks and bounds are as they were.

--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -119,23 +119,35 @@
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let servers = servers.clone();
-                thread::spawn(move || {
-                    let mut bytes = [0; 1024];
-                    while let Ok(count @ 1..) = stream.read(&mut bytes) {
-                        let call = String::from_utf8_lossy(&bytes[..count]).into_owned();
-                        *servers.last_call.lock().expect("the last call") = call;
-                        servers.calls.fetch_add(1, Ordering::SeqCst);
-                        thread::sleep(Duration::from_millis(servers.service_time_ms.load(Ordering::SeqCst)));
-                        let (length, value) = (servers.value_length, "v".repeat(servers.value_length));
-                        let answer = format!("*3\r\n${length}\r\n{value}\r\n$-1\r\n$-1\r\n");
-                        let _ = stream.write_all(answer.as_bytes());
-                    }
-                });
+                thread::spawn(move || servers.answer(&mut stream));
             }
         });
         address
     }
 
+    /// Answers the commands of a connection in their order, `SELECT` at once, until it ends.
+    fn answer(&self, stream: &mut TcpStream) {
+        let (mut bytes, mut part) = (Vec::new(), [0; 1024]);
+        while let Ok(count @ 1..) = stream.read(&mut part) {
+            bytes.extend_from_slice(&part[..count]);
+            while let Some((words, length)) = resp::command(&bytes).expect("a command in good form") {
+                // All values are equal here, so that the gateway has it answered behind each call.
+                let is_select = words[0] == b"SELECT";
+                let command: Vec<u8> = bytes.drain(..length).collect();
+                let answer = if is_select { "+OK\r\n".into() } else { self.answer_call(&command) };
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        }
+    }
+
+    fn answer_call(&self, call: &[u8]) -> String {
+        *self.last_call.lock().expect("the last call") = String::from_utf8_lossy(call).into_owned();
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(self.service_time_ms.load(Ordering::SeqCst)));
+        let (length, value) = (self.value_length, "v".repeat(self.value_length));
+        format!("*3\r\n${length}\r\n{value}\r\n$-1\r\n$-1\r\n")
+    }
+
     fn calls(&self) -> usize {
         self.calls.load(Ordering::SeqCst)
     }
