A second answer that comes late is told from the next request's by order, not by time

Cause: replies carry no id, and a connection counted as clean 20 ms after a reply (upstream/pool.rs). A server that writes an answer twice and is late by more than that has its copy read as the reply to the next call on the connection.

Now a value that equals the one before it on its connection is passed on only once the server has answered SELECT 0, written behind the call: the reply to the call comes before that, so another value in between is the reply, and the first one was a copy. Where this is not certain the attempt may have been executed. Different values cost nothing; where a server's values have been equal the command goes with the call. Why it works: order on a connection is what the protocol gives, a span of time is not.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod clocks;
 mod crossings;
+mod duplicates;
 mod end_to_end;
 mod large;
 mod operator;
--- a/crates/gateway/src/protocol/call.rs
+++ b/crates/gateway/src/protocol/call.rs
@@ -1,6 +1,7 @@
 //! The commands: what clients ask for, what is passed on to servers, and the answers of both.
 
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hasher};
 use std::ops::Range;
 use std::rc::Rc;
 
@@ -57,6 +58,10 @@
     Overloaded,
 }
 
+/// A hash of a server's value. Equal values have equal ones; different ones may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ValueFingerprint(u64);
+
 /// Bytes of a long value that have to be there before any is passed on: more than a spoilt answer of usual size has.
 const EVIDENCE: usize = 4 * 1024;
 const GET: &[u8] = b"CALL.GET";
@@ -179,6 +184,16 @@
     }
 }
 
+impl ServerReply {
+    /// The fingerprint of its value; none where it has none, or it was passed on as it came.
+    pub fn fingerprint(&self) -> Option<ValueFingerprint> {
+        let ServerReply::Completed { value, .. } = self else { return None };
+        let mut hasher = DefaultHasher::new();
+        hasher.write(value);
+        Some(ValueFingerprint(hasher.finish()))
+    }
+}
+
 impl FinalAnswer {
     pub fn write(&self) -> Vec<u8> {
         match self {
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -9,6 +9,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, ready};
 use rustix::event::{self, PollFd, PollFlags, Timespec};
+use rustix::net::sockopt;
 
 use super::arrival::{time_since_arrival, MIN_READ_DELAY};
 use super::buffer::Buffer;
@@ -16,6 +17,7 @@
 use super::limits::Reservation;
 use super::stream::write_all;
 use super::syscall::{dialled, uninterrupted};
+use crate::protocol::call::ValueFingerprint;
 use crate::protocol::Scanned;
 
 /// Bytes of a long value that are passed on at a time. A value takes three such pieces, one on each side and one between
@@ -34,6 +36,10 @@
     pub used: Instant,
     /// What comes on it can't be told apart any more.
     pub spoilt: bool,
+    /// The value of the last call that was answered on it; none where there was none, or it was not kept complete.
+    pub last_value: Option<ValueFingerprint>,
+    /// The reply to a command is still to come that was written only to have all replies before it.
+    pub fence_pending: bool,
     place: Option<Reservation>,
     /// Where it was dialled to.
     to: Option<SocketAddr>,
@@ -43,7 +49,16 @@
     pub fn new(stream: Async<TcpStream>, buffer: Buffer, place: Option<Reservation>) -> Self {
         // Messages are small and each is waited for.
         let _ = stream.get_ref().set_nodelay(true);
-        Connection { stream, buffer, used: Instant::now(), spoilt: false, place, to: None }
+        Connection {
+            stream,
+            buffer,
+            used: Instant::now(),
+            spoilt: false,
+            last_value: None,
+            fence_pending: false,
+            place,
+            to: None,
+        }
     }
 
     pub async fn connect(
@@ -162,6 +177,12 @@
         }
     }
 
+    /// Acknowledges at once what has been read: a server that gathers small writes holds the next one back until then.
+    pub fn acknowledge(&self) {
+        // Where the system refuses, the acknowledgement comes by itself, some 40 ms later.
+        let _ = sockopt::set_tcp_quickack(&self.stream, true);
+    }
+
     /// For how long what has just been read, or the establishing of this connection, had waited for this process, of the time
     /// since it has been waited for. Zero where the system does not say, or hardly any.
     pub fn read_delay(&self, waited_since: Instant) -> Duration {
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -1,12 +1,15 @@
 //! One exchange with a server: a command is written on a connection of its own, and its reply read.
 //!
 //! It owns the last look at whether an attempt may still begin, and the passing on of values too long to be kept complete.
+//! Whether a reply belongs to the command at all is the business of [`duplicate`](super::duplicate).
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use fernscale_policy::{Id, LoadReport, Micros};
 
+use super::duplicate::write_fence;
 use super::pool::Checkout;
 use super::Upstream;
 use crate::outcome::AttemptFailure;
@@ -23,11 +26,11 @@
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A reply that has been read, and the connection it came on.
-struct Exchanged<T> {
-    reply: T,
-    connection: Connection,
+pub(super) struct Exchanged<T> {
+    pub(super) reply: T,
+    pub(super) connection: Connection,
     /// For how long the connection's establishing and the reply had waited for this process.
-    read_delay: Duration,
+    pub(super) read_delay: Duration,
 }
 
 /// A server's answer to an attempt.
@@ -41,7 +44,7 @@
 impl Upstream {
     /// Forwards a call, and gives the server's reply once it is complete. A long value has been passed on by then.
     pub(super) async fn forward(
-        &self,
+        self: &Rc<Self>,
         call: &Call,
         attempt: usize,
         limit: Micros,
@@ -51,14 +54,17 @@
         // What the order waited, and its connection took to come up, its client does not have any more.
         let command = || call.command(micros(until.saturating_duration_since(Instant::now())).min(limit));
         let scan = |bytes: &[u8], ended: bool| call::came(bytes, ended, self.load_fields());
-        let Exchanged { reply, connection, read_delay } =
-            self.exchange(command, until, Some(call), scan).await?;
+        let received = self.exchange(command, until, Some(call), scan).await?;
+        let Exchanged { reply, mut connection, read_delay } =
+            self.skip_duplicates(received, until, &call.request.id).await?;
         let (reply, load) = match reply {
-            Came::Whole(reply) => {
-                self.pool.release(connection);
-                reply
+            Came::Whole((reply, load)) => {
+                connection.last_value = reply.fingerprint();
+                self.release(connection);
+                (reply, load)
             }
             Came::Opens(head) => {
+                connection.last_value = None;
                 self.stream_value(head, connection, call.request.id.clone(), attempt).await?
             }
         };
@@ -79,13 +85,13 @@
         Ok(reply)
     }
 
-    fn load_fields(&self) -> &[String] {
+    pub(super) fn load_fields(&self) -> &[String] {
         &self.shared.platform.load_fields
     }
 
     /// How long a message may take from its first byte to its end: a reply that has begun comes in one piece, and needs no
     /// longer than a connection does.
-    fn message_timeout(&self) -> Duration {
+    pub(super) fn message_timeout(&self) -> Duration {
         Duration::from_micros(self.shared.platform.connect_timeout)
     }
 
@@ -160,11 +166,25 @@
             .map_err(AttemptFailure::unsent)?;
         if call.is_some() {
             self.shared.metrics.attempt_forwarded();
+            if self.expects_equal_value(&connection) {
+                write_fence(&mut connection, until).await;
+            }
         }
+        self.receive(connection, written_at, until, scan).await
+    }
+
+    /// Reads the next reply on a connection that has been waited on from `since` on.
+    pub(super) async fn receive<T>(
+        &self,
+        mut connection: Connection,
+        since: Instant,
+        until: Instant,
+        scan: impl Fn(&[u8], bool) -> Scanned<T>,
+    ) -> Result<Exchanged<T>, AttemptFailure> {
         let received = connection.message(|bytes| scan(bytes, false), until, self.message_timeout()).await;
         match received {
             Ok(reply) => {
-                let read_delay = connection.read_delay(written_at);
+                let read_delay = connection.read_delay(since);
                 Ok(Exchanged { reply, connection, read_delay })
             }
             Err(how) => match scan(connection.buffer.filled(), true) {
@@ -181,7 +201,7 @@
 
     /// Passes a long value on as it comes, and reads what follows it.
     async fn stream_value(
-        &self,
+        self: &Rc<Self>,
         head: Opening,
         mut connection: Connection,
         request: Id,
@@ -197,7 +217,7 @@
         let scan = |bytes: &[u8]| call::behind(bytes, following_items, false, self.load_fields());
         match connection.message(scan, Instant::now() + timeout, timeout).await {
             Ok(reply) => {
-                self.pool.release(connection);
+                self.release(connection);
                 Ok(reply)
             }
             Err(how) => {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,10 +3,11 @@
 //! An attempt is cancelled by closing its connection, so that no other exchange is disturbed. The actor carries out orders of
 //! the dispatcher; it never chooses a server, and never retries.
 
+mod duplicate;
 mod exchange;
 mod pool;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,6 +63,8 @@
     server: Id,
     pool: ConnectionPool,
     attempts: RefCell<HashMap<AttemptKey, RunningAttempt>>,
+    /// The last two values that were compared, of one connection, were equal.
+    values_repeat: Cell<bool>,
     shared: Rc<Shared>,
     events: Sender<Event>,
 }
@@ -82,6 +85,7 @@
         server: server.clone(),
         pool: ConnectionPool::new(shared.clone(), address),
         attempts: RefCell::default(),
+        values_repeat: Cell::default(),
         shared: shared.clone(),
         events: events.clone(),
     });
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -17,8 +17,8 @@
 use crate::transport::connection::Connection;
 use crate::transport::ending::ConnectionEnd;
 
-/// How long a connection rests after each reply. Danger: a duplicate of a reply, which follows it within a few milliseconds,
-/// would be taken for the reply to the next command.
+/// How long a connection rests after each reply. A duplicate of the reply that comes meanwhile is seen on the idle connection,
+/// which is then closed; one that comes later is recognised by [`duplicate`](super::duplicate).
 const REST_AFTER_REPLY: Duration = Duration::from_millis(20);
 /// Part of the platform's idle timeout for which a connection is retained at most: later the server may close it while an
 /// attempt is on its way.
@@ -91,8 +91,8 @@
 
     /// Takes a connection back, and closes it unless it can be used again and descriptors are left for other servers.
     pub(super) fn release(&self, mut connection: Connection) {
-        let is_reusable =
-            connection.buffer.is_empty() && !connection.spoilt && self.is_connected(&connection);
+        let owes_nothing = connection.buffer.is_empty() && !connection.fence_pending;
+        let is_reusable = owes_nothing && !connection.spoilt && self.is_connected(&connection);
         if is_reusable && self.shared.limits.servers.is_mostly_free() {
             connection.used = Instant::now();
             self.idle.borrow_mut().push(connection);
