An error line says nothing of whether a server's values repeat

It reset what is expected of the next value, so that a service of equal values paid a round trip for the next one after each -BUSY. By reading; equal values after an error are covered by no test of time. Behaviour with different values is as it was.

--- a/crates/gateway/src/upstream/duplicate.rs
+++ b/crates/gateway/src/upstream/duplicate.rs
@@ -53,6 +53,9 @@
         request: &Id,
     ) -> Result<Exchanged<Came>, AttemptFailure> {
         let Some(last_value) = received.connection.last_value else { return Ok(received) };
+        if is_error(&received.reply) {
+            return Ok(received);
+        }
         if !is_value(&received.reply, last_value) {
             self.values_repeat.set(false);
             return Ok(received);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -63,7 +63,7 @@
     server: Id,
     pool: ConnectionPool,
     attempts: RefCell<HashMap<AttemptKey, RunningAttempt>>,
-    /// The last two values that were compared, of one connection, were equal.
+    /// Whether the last value that was compared with the one before it on its connection equalled that.
     values_repeat: Cell<bool>,
     shared: Rc<Shared>,
     events: Sender<Event>,
