What scans servers' replies has names that say so

call::came, said and behind are scan_reply, scan_complete_reply and scan_after_value; Came is ReceivedReply with Complete and LongValue. Names only: the tests of parsers call them by the new ones, no check is touched.

--- a/crates/gateway/src/protocol/call.rs
+++ b/crates/gateway/src/protocol/call.rs
@@ -217,7 +217,11 @@
 
 /// What a server's reply says, and the load it reports. A value that has come whole is good, whatever stands behind
 /// it: where that can't be read, or `ended` says that it won't come, the value goes without.
-pub fn said(bytes: &[u8], ended: bool, names: &[String]) -> Scanned<(ServerReply, LoadReport)> {
+pub fn scan_complete_reply(
+    bytes: &[u8],
+    ended: bool,
+    names: &[String],
+) -> Scanned<(ServerReply, LoadReport)> {
     match resp::reply(bytes) {
         Ok(Some((reply, length))) => Ok(Some((meaning(&reply, names)?, length))),
         Ok(None) if !ended && bytes.starts_with(b"*") => Ok(resp::first(bytes)?.and(None)),
@@ -232,25 +236,32 @@
     }
 }
 
-/// What has come of a server's reply.
-pub enum Came {
-    Whole((ServerReply, LoadReport)),
-    Opens(Opening),
+/// What has been received of a server's reply.
+pub enum ReceivedReply {
+    /// All of it.
+    Complete((ServerReply, LoadReport)),
+    /// The head of a value too long to be kept complete, and some of the value.
+    LongValue(Opening),
 }
 
-/// As `said`; of a value too long to be kept whole the head is enough, once some of the value is there too. Danger: a
+/// As [`scan_complete_reply`]; of a value too long to be kept whole the head is enough, once some of the value is there too. Danger: a
 /// spoilt length. Once a value is being passed on, nobody else can be asked for it.
-pub fn came(bytes: &[u8], ended: bool, names: &[String]) -> Scanned<Came> {
+pub fn scan_reply(bytes: &[u8], ended: bool, names: &[String]) -> Scanned<ReceivedReply> {
     match resp::opening(bytes)? {
-        Some((opening, start)) if bytes.len() >= start + EVIDENCE => Ok(Some((Came::Opens(opening), start))),
+        Some((opening, start)) if bytes.len() >= start + EVIDENCE => {
+            Ok(Some((ReceivedReply::LongValue(opening), start)))
+        }
         Some(_) => Ok(None),
-        None => Ok(said(bytes, ended, names)?.map(|(said, length)| (Came::Whole(said), length))),
+        None => {
+            let reply = scan_complete_reply(bytes, ended, names)?;
+            Ok(reply.map(|(reply, length)| (ReceivedReply::Complete(reply), length)))
+        }
     }
 }
 
 /// What stands behind a value that has been passed on: its line end, and the rest of the array. Where only the former
 /// can be read, the value goes without the rest.
-pub fn behind(
+pub fn scan_after_value(
     bytes: &[u8],
     rest: usize,
     ended: bool,
--- a/crates/gateway/src/upstream/duplicate.rs
+++ b/crates/gateway/src/upstream/duplicate.rs
@@ -17,7 +17,7 @@
 use super::exchange::Exchanged;
 use super::Upstream;
 use crate::outcome::AttemptFailure;
-use crate::protocol::call::{self, Came, ServerReply, ValueFingerprint};
+use crate::protocol::call::{self, ReceivedReply, ServerReply, ValueFingerprint};
 use crate::protocol::resp::{self, Reply};
 use crate::protocol::Scanned;
 use crate::transport::connection::{within, Connection};
@@ -30,7 +30,7 @@
 enum Following {
     /// The fence's reply: all replies to what was written before it have come.
     Fence,
-    Reply(Came),
+    Reply(ReceivedReply),
 }
 
 impl Upstream {
@@ -48,10 +48,10 @@
     /// the reply, and where an error line comes behind it: the call may have been executed.
     pub(super) async fn skip_duplicates(
         &self,
-        received: Exchanged<Came>,
+        received: Exchanged<ReceivedReply>,
         until: Instant,
         request: &Id,
-    ) -> Result<Exchanged<Came>, AttemptFailure> {
+    ) -> Result<Exchanged<ReceivedReply>, AttemptFailure> {
         let Some(last_value) = received.connection.last_value else { return Ok(received) };
         if is_error(&received.reply) {
             return Ok(received);
@@ -77,10 +77,10 @@
     /// Reads on behind a value that equals the last one, until it is certain which reply is the call's.
     async fn resolve(
         &self,
-        candidate: Exchanged<Came>,
+        candidate: Exchanged<ReceivedReply>,
         last_value: ValueFingerprint,
         until: Instant,
-    ) -> Result<Exchanged<Came>, AttemptFailure> {
+    ) -> Result<Exchanged<ReceivedReply>, AttemptFailure> {
         let Exchanged { reply: equal_value, mut connection, mut read_delay } = candidate;
         if !connection.fence_pending {
             write_fence(&mut connection, until).await;
@@ -113,7 +113,7 @@
         if let Some(length) = fence_reply(bytes) {
             return Ok(Some((Following::Fence, length)));
         }
-        let reply = call::came(bytes, ended, self.load_fields())?;
+        let reply = call::scan_reply(bytes, ended, self.load_fields())?;
         Ok(reply.map(|(reply, length)| (Following::Reply(reply), length)))
     }
 
@@ -159,10 +159,10 @@
     }
 }
 
-fn is_value(reply: &Came, value: ValueFingerprint) -> bool {
-    matches!(reply, Came::Whole((reply, _)) if reply.fingerprint() == Some(value))
+fn is_value(reply: &ReceivedReply, value: ValueFingerprint) -> bool {
+    matches!(reply, ReceivedReply::Complete((reply, _)) if reply.fingerprint() == Some(value))
 }
 
-fn is_error(reply: &Came) -> bool {
-    matches!(reply, Came::Whole((ServerReply::Failed | ServerReply::Overloaded, _)))
+fn is_error(reply: &ReceivedReply) -> bool {
+    matches!(reply, ReceivedReply::Complete((ServerReply::Failed | ServerReply::Overloaded, _)))
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -13,7 +13,7 @@
 use super::pool::Checkout;
 use super::Upstream;
 use crate::outcome::AttemptFailure;
-use crate::protocol::call::{self, Call, Came, ServerReply};
+use crate::protocol::call::{self, Call, ReceivedReply, ServerReply};
 use crate::protocol::resp::{self, Opening, Reply};
 use crate::protocol::Scanned;
 use crate::shared::{Event, Piece, ResponseStream};
@@ -53,17 +53,17 @@
         let until = created_at + Duration::from_micros(limit);
         // What the order waited, and its connection took to come up, its client does not have any more.
         let command = || call.command(micros(until.saturating_duration_since(Instant::now())).min(limit));
-        let scan = |bytes: &[u8], ended: bool| call::came(bytes, ended, self.load_fields());
+        let scan = |bytes: &[u8], ended: bool| call::scan_reply(bytes, ended, self.load_fields());
         let received = self.exchange(command, until, Some(call), scan).await?;
         let Exchanged { reply, mut connection, read_delay } =
             self.skip_duplicates(received, until, &call.request.id).await?;
         let (reply, load) = match reply {
-            Came::Whole((reply, load)) => {
+            ReceivedReply::Complete((reply, load)) => {
                 connection.last_value = reply.fingerprint();
                 self.release(connection);
                 (reply, load)
             }
-            Came::Opens(head) => {
+            ReceivedReply::LongValue(head) => {
                 connection.last_value = None;
                 self.stream_value(head, connection, call.request.id.clone(), attempt).await?
             }
@@ -214,7 +214,7 @@
         drop(sender);
         let following_items = head.items - 1;
         let timeout = self.message_timeout();
-        let scan = |bytes: &[u8]| call::behind(bytes, following_items, false, self.load_fields());
+        let scan = |bytes: &[u8]| call::scan_after_value(bytes, following_items, false, self.load_fields());
         match connection.message(scan, Instant::now() + timeout, timeout).await {
             Ok(reply) => {
                 self.release(connection);
@@ -222,7 +222,7 @@
             }
             Err(how) => {
                 let received = connection.buffer.filled();
-                match call::behind(received, following_items, true, self.load_fields()) {
+                match call::scan_after_value(received, following_items, true, self.load_fields()) {
                     Ok(Some((reply, _))) => Ok(reply),
                     _ => Err(AttemptFailure::unanswered(how)),
                 }
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -251,7 +251,8 @@
 #[test]
 fn replies_of_servers_mean_what_the_protocol_says() {
     let names = vec!["busy_reqs".to_string()];
-    let said = |bytes: &[u8]| Ok::<_, &str>(call::said(bytes, false, &names)?.expect("whole").0);
+    let said =
+        |bytes: &[u8]| Ok::<_, &str>(call::scan_complete_reply(bytes, false, &names)?.expect("whole").0);
     let (settled, load) =
         said(b"*3\r\n$2\r\nok\r\n$14\r\nused=86,cost=3\r\n$11\r\nbusy_reqs=7\r\n").expect("an answer");
     assert_eq!(settled, ServerReply::Completed { value: b"ok"[..].into(), units: Some(3.0) });
@@ -272,13 +273,19 @@
         ["", "$-1\r\n", "$-1\r\n$20\r\nbusy", "$-1\r\n$3\r\nbusy_reqs=1\r\n", "?what\r\n", "$99999999\r\n"]
     {
         let answer = format!("*3\r\n$2\r\nok\r\n{behind}");
-        assert!(!matches!(call::said(answer.as_bytes(), false, &names), Ok(Some(_))), "{answer}");
-        let at_the_end = call::said(answer.as_bytes(), true, &names);
+        assert!(
+            !matches!(call::scan_complete_reply(answer.as_bytes(), false, &names), Ok(Some(_))),
+            "{answer}"
+        );
+        let at_the_end = call::scan_complete_reply(answer.as_bytes(), true, &names);
         assert_eq!(at_the_end.expect("good").expect("whole").0 .0, value);
     }
-    assert!(call::said(b"*3\r\n*3\r\n", false, &names).is_err(), "no value can follow");
+    assert!(call::scan_complete_reply(b"*3\r\n*3\r\n", false, &names).is_err(), "no value can follow");
     for spoilt in ["*3\r\n$2\r\no", "*3\r\n$1\r\nok\r\n", "*3\r\n$3000000000\r\nok", "*-7\r\n", "*3", "x"] {
-        assert!(!matches!(call::said(spoilt.as_bytes(), true, &names), Ok(Some(_))), "{spoilt}");
+        assert!(
+            !matches!(call::scan_complete_reply(spoilt.as_bytes(), true, &names), Ok(Some(_))),
+            "{spoilt}"
+        );
     }
     assert_eq!(FinalAnswer::Rejected(500_000).write(), b"-BUSY 500\r\n");
     assert_eq!(FinalAnswer::Rejected(0).write(), b"-BUSY\r\n");
@@ -349,8 +356,8 @@
     let names = ["pending".to_string()];
     let end = b"\r\n$8\r\ncost=2.5\r\n$9\r\npending=7\r\n";
     for cut in 0..end.len() {
-        assert_eq!(call::behind(&end[..cut], 2, false, &names), Ok(None), "{cut}");
-        let ended = call::behind(&end[..cut], 2, true, &names);
+        assert_eq!(call::scan_after_value(&end[..cut], 2, false, &names), Ok(None), "{cut}");
+        let ended = call::scan_after_value(&end[..cut], 2, true, &names);
         match cut {
             0 | 1 => assert!(ended.is_err()),
             _ => assert_eq!(
@@ -361,10 +368,10 @@
     }
     let load = LoadReport { queued: Some(7.0), ..LoadReport::default() };
     let passed = (ServerReply::Streamed { units: Some(2.5) }, load);
-    assert_eq!(call::behind(end, 2, false, &names), Ok(Some((passed, end.len()))));
-    assert!(call::behind(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
+    assert_eq!(call::scan_after_value(end, 2, false, &names), Ok(Some((passed, end.len()))));
+    assert!(call::scan_after_value(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
     assert!(matches!(
-        call::behind(b"\r\n?what\r\n", 2, false, &names),
+        call::scan_after_value(b"\r\n?what\r\n", 2, false, &names),
         Ok(Some(((ServerReply::Streamed { units: None }, _), 9)))
     ));
 }
@@ -377,9 +384,9 @@
     for reply in whole.map(str::as_bytes) {
         let cuts = (0..reply.len()).filter(|cut| *cut < 100 || reply.len() - cut < 100);
         for cut in cuts {
-            let came = call::came(&reply[..cut], false, &[]);
+            let came = call::scan_reply(&reply[..cut], false, &[]);
             assert!(came.is_ok(), "{:?}, cut after {cut}: {:?}", &reply[..reply.len().min(40)], came.err());
         }
-        assert!(matches!(call::came(reply, false, &[]), Ok(Some(_))));
+        assert!(matches!(call::scan_reply(reply, false, &[]), Ok(Some(_))));
     }
 }
