A connection that came up while the gateway stood still is used, not given up

Seen by callers: -BUSY 500 with most of their time left, though their server was up and idle; with other servers a retry, and a failed attempt charged to a server that had none.

Cause: within polls the dial and then its timer. Readiness that the reactor reports in the very turn in which it was asked for counts as old, and another thread is in a turn of the reactor while the gateway's stands still: the dial has to ask once more, and the timer in the same poll has expired.

Change: when its time has come, within lets the reactor have one more turn, and the work goes on first with what it brings. Endings by time come 0.1 ms or a turn of the event loop later.

--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -13,6 +13,7 @@
 
 use super::arrival::{time_since_arrival, MIN_READ_DELAY};
 use super::buffer::Buffer;
+use super::clock::yield_to_arrivals;
 use super::ending::ConnectionEnd;
 use super::limits::Reservation;
 use super::stream::write_all;
@@ -257,6 +258,9 @@
 }
 
 /// The outcome of some work, or an ending once the time has come.
+///
+/// A process that stood still may be woken by the timer before it has looked at its sockets: the work then goes on first with
+/// what has come to them.
 pub async fn within<T>(
     until: Instant,
     ending: ConnectionEnd,
@@ -264,6 +268,7 @@
 ) -> Result<T, ConnectionEnd> {
     let late = async {
         Timer::at(until).await;
+        yield_to_arrivals().await;
         Err(ending)
     };
     future::or(work, late).await
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
@@ -19,8 +20,11 @@
 use fernscale_gateway::protocol::catalog::EndpointUpdate;
 use fernscale_gateway::protocol::resp;
 use fernscale_gateway::shared::{Event, FinalReply, ReceivedRequest, ReplyHandle, Shared};
+use fernscale_gateway::transport::buffer::Buffer;
+use fernscale_gateway::transport::connection::Connection;
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::{Endpoint, EndpointState, Id, Idempotency, Plan, RequestClass, Settings};
+use futures_lite::future;
 
 const SERVERS: usize = 3;
 const CLIENTS: usize = 8;
@@ -418,3 +422,21 @@
     });
     assert_eq!(answer, "$1\r\nv\r\n");
 }
+
+/// Guards against a dial that was answered while the gateway stood still passing for one that nobody answered.
+#[test]
+fn a_connection_that_was_established_in_a_standstill_is_used() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let limit = Duration::from_millis(50);
+    let connected = async_io::block_on(async {
+        // Danger: after a standstill another thread looks at the sockets, and the dial is told of its end one look late.
+        Timer::after(POLL_INTERVAL).await;
+        thread::sleep(2 * limit);
+        let mut dial = pin!(Connection::connect(address, limit, Buffer::new(1_024, None), None));
+        assert!(future::poll_once(&mut dial).await.is_none(), "a dial takes a turn of the event loop");
+        thread::sleep(2 * limit);
+        dial.await.is_ok()
+    });
+    assert!(connected);
+}
