Servers of two standstill tests answer only once the gateway stands still

The test takes it that the gateway stands still before any of four calls is answered, which takes 20 ms. The gateway did what it should.

Change: the servers hold their answers from the start and let them go as the standstill begins. Assertions, times and limits are as they were. Two of six requests still have to be refused and only four may be sent.

As strict: with the check of late requests and the clamp of an attempt's time taken out, both forms fail by the same overflow; with the check alone taken out, both pass, as the attempt is refused at its server's actor. Without the catch-up after a standstill both tests fail.

--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -7,7 +7,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{mpsc, Arc, Mutex};
+use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -97,6 +97,32 @@
     last_call: Arc<Mutex<String>>,
     /// The length of the values that they answer with.
     value_length: usize,
+    /// Calls are answered only while this is open.
+    gate: Arc<Gate>,
+}
+
+/// Holds threads up while it is closed.
+#[derive(Default)]
+struct Gate {
+    closed: Mutex<bool>,
+    opened: Condvar,
+}
+
+impl Gate {
+    fn close(&self) {
+        *self.closed.lock().expect("the gate") = true;
+    }
+
+    fn open(&self) {
+        *self.closed.lock().expect("the gate") = false;
+        self.opened.notify_all();
+    }
+
+    /// Waits until it is open.
+    fn pass(&self) {
+        let closed = self.closed.lock().expect("the gate");
+        drop(self.opened.wait_while(closed, |closed| *closed).expect("the gate"));
+    }
 }
 
 impl Servers {
@@ -111,6 +137,7 @@
             service_time_ms: Arc::new(AtomicU64::new(SERVICE_TIME.as_millis() as u64)),
             last_call: Arc::default(),
             value_length,
+            gate: Arc::default(),
         };
         servers.addresses = (0..count).map(|_| servers.start_one()).collect();
         servers
@@ -147,6 +174,7 @@
     fn answer_call(&self, call: &[u8]) -> String {
         *self.last_call.lock().expect("the last call") = String::from_utf8_lossy(call).into_owned();
         self.calls.fetch_add(1, Ordering::SeqCst);
+        self.gate.pass();
         thread::sleep(Duration::from_millis(self.service_time_ms.load(Ordering::SeqCst)));
         let (length, value) = (self.value_length, "v".repeat(self.value_length));
         format!("*3\r\n${length}\r\n{value}\r\n$-1\r\n$-1\r\n")
@@ -210,11 +238,12 @@
         refusals
     }
 
-    /// Stands still once so many calls have come to the servers in all.
+    /// Stands still once so many calls have come to the servers in all. Calls that they held up are answered from then on.
     async fn stand_still(&self, servers: &Servers, calls: usize, time: Duration) {
         while servers.calls() < calls {
             Timer::after(POLL_INTERVAL).await;
         }
+        servers.gate.open();
         thread::sleep(time);
     }
 }
@@ -320,6 +349,8 @@
 fn a_request_whose_time_ran_out_in_a_standstill_is_sent_to_no_server() {
     for (client_time, standstill) in [(300, 400), (200, 230), (200, 195)] {
         let servers = Servers::start(1);
+        // Danger: an answer that is read before the standstill makes room for a call that waits.
+        servers.gate.close();
         let (client_time, standstill) =
             (Duration::from_millis(client_time), Duration::from_millis(standstill));
         let refusals = Gateway::run(&servers, async |gateway| {
@@ -342,6 +373,7 @@
 fn a_request_that_waited_through_a_standstill_is_served_where_servers_are_free() {
     // A server that nothing is known of gets four; two more wait, for a quarter of the latency objective at the most.
     let servers = Servers::start(1);
+    servers.gate.close();
     let refusals = Gateway::run(&servers, async |gateway| {
         let during = gateway.ask(6, CLIENT_TIME);
         gateway.stand_still(&servers, 4, Duration::from_millis(270)).await;
