Connections, buffers and limits of the transport in the field's terms, with documentation

Change: variants of ConnectionEnd say what happened (ConnectTimeout, TimedOut, Malformed, IoError, EndpointChanged, StaleEndpoints); logs print them as before, by name(), which Debug uses as well.

--- a/crates/gateway/src/counter/mod.rs
+++ b/crates/gateway/src/counter/mod.rs
@@ -104,7 +104,7 @@
     /// Since when an answer has been coming that is not complete.
     fn answer_begun_at(&self) -> Option<Instant> {
         match self {
-            Link::Up(connection) => connection.buffer.since(),
+            Link::Up(connection) => connection.buffer.message_began_at(),
             Link::Down | Link::Dialing(_) => None,
         }
     }
@@ -218,7 +218,7 @@
     /// Writes a call, or dials where there is no connection.
     async fn send(&mut self, update: CounterUpdate) {
         if self.unanswered.len() >= MAX_UNANSWERED {
-            self.connection_ended(ConnectionEnd::Silent).await;
+            self.connection_ended(ConnectionEnd::TimedOut).await;
         }
         let Link::Up(connection) = &mut self.link else {
             self.dial_if_down();
@@ -232,7 +232,7 @@
         let words = [b"ADDGET", update.key.as_bytes(), amount.as_bytes(), lifetime_ms.as_bytes()];
         let command = resp::write_command(&words);
         let until = update.created_at + self.timeout;
-        match within(until, ConnectionEnd::Silent, connection.write(&command)).await {
+        match within(until, ConnectionEnd::TimedOut, connection.write(&command)).await {
             Ok(()) => {
                 let CounterUpdate { key, created_at, .. } = update;
                 self.unanswered.push_back(SentCall { key, created_at });
@@ -269,7 +269,7 @@
             // What is malformed answers no call: that call is reported with the rest.
             let answered = total.and_then(|total| Some((total, self.unanswered.pop_front()?)));
             let Some((total, call)) = answered else {
-                return self.connection_ended(ConnectionEnd::Garbled).await;
+                return self.connection_ended(ConnectionEnd::Malformed).await;
             };
             self.last_answered_at = Some(self.last_received_at);
             if self.expired > 0 {
@@ -286,7 +286,7 @@
         while let Some(update) =
             self.unsent.pop_front_if(|update| update.created_at.elapsed() >= self.timeout)
         {
-            self.report_unsent(update, ConnectionEnd::NeverUp).await;
+            self.report_unsent(update, ConnectionEnd::ConnectTimeout).await;
         }
         while let Some(call) = self.unanswered.get(self.expired) {
             if call.created_at.elapsed() < self.timeout {
@@ -294,18 +294,18 @@
             }
             // Where answers came before but none since, the connection has stalled; else the counter may be overloaded.
             let has_stalled = self.last_answered_at.is_some_and(|answered_at| answered_at <= call.created_at);
-            let end = if has_stalled { ConnectionEnd::Stalled } else { ConnectionEnd::Silent };
+            let end = if has_stalled { ConnectionEnd::Stalled } else { ConnectionEnd::TimedOut };
             let key = call.key.clone();
             let created_at = call.created_at;
             self.expired += 1;
             self.report(key, Err(AttemptFailure::unanswered(end)), created_at).await;
         }
         if self.link.answer_begun_at().is_some_and(|begun_at| begun_at.elapsed() >= ANSWER_TIMEOUT) {
-            self.connection_ended(ConnectionEnd::Garbled).await;
+            self.connection_ended(ConnectionEnd::Malformed).await;
         }
         if !self.unanswered.is_empty() && self.last_received_at.elapsed() >= SILENCE_TIMEOUT {
             warn!(self.shared.log, #"counter.silent", "the counter is silent"; "calls" => self.unanswered.len());
-            self.connection_ended(ConnectionEnd::Silent).await;
+            self.connection_ended(ConnectionEnd::TimedOut).await;
         }
     }
 
--- a/crates/gateway/src/discovery/client.rs
+++ b/crates/gateway/src/discovery/client.rs
@@ -178,11 +178,11 @@
             Some(connection) => connection,
             None => self.dial().await?,
         };
-        within(until, ConnectionEnd::Silent, connection.write(request)).await?;
+        within(until, ConnectionEnd::TimedOut, connection.write(request)).await?;
         let response = read_response(&mut connection, until).await;
         match &response {
             Ok(response) if response.keep => self.connection = Some(connection),
-            Err(ConnectionEnd::Silent) if self.shared.platform.list_is_pushed => {
+            Err(ConnectionEnd::TimedOut) if self.shared.platform.list_is_pushed => {
                 let until = Instant::now() + LATE_RESPONSE_TIMEOUT;
                 self.late = Some(LateConnection { connection, until });
             }
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -95,7 +95,7 @@
                 return;
             }
         }
-        let end = Err(AttemptFailure::unsent(ConnectionEnd::NoSocket));
+        let end = Err(AttemptFailure::unsent(ConnectionEnd::NoDescriptor));
         self.follow_ups.push_back(Event::AttemptCompleted(CompletedAttempt {
             request: id,
             attempt,
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -95,9 +95,9 @@
         debug!(self.context.shared.log, #"client.ended", "a client's connection ended"; "how" => ?end);
         self.cancel_open_requests().await;
         match end {
-            ConnectionEnd::Garbled | ConnectionEnd::Stopping => self.linger().await,
+            ConnectionEnd::Malformed | ConnectionEnd::ShuttingDown => self.linger().await,
             // A client that has sent nothing may be sending: what crosses the end must meet no reset.
-            ConnectionEnd::Idle | ConnectionEnd::Silent => self.yield_slot().await,
+            ConnectionEnd::Idle | ConnectionEnd::TimedOut => self.yield_slot().await,
             _ => {}
         }
     }
@@ -151,13 +151,13 @@
     /// Whether a connection with an empty pipeline goes on.
     fn check_still_open(&self) -> Result<(), ConnectionEnd> {
         if self.is_ending {
-            return Err(ConnectionEnd::Garbled);
+            return Err(ConnectionEnd::Malformed);
         }
         let is_leaving = self.context.shared.shutting_down_since.get().is_some() || !self.is_served;
         // A client that has just connected has its first command on the way. What has come meanwhile is answered, and a command
         // that has begun to come has its time.
         if is_leaving && self.pipeline.received() > 0 && self.connection.has_no_input() {
-            return Err(ConnectionEnd::Stopping);
+            return Err(ConnectionEnd::ShuttingDown);
         }
         Ok(())
     }
@@ -172,13 +172,13 @@
                 self.input_delay = self.connection.unread_time();
                 Ok(())
             }
-            Input::Read(Err(ConnectionEnd::Garbled)) => self.fail_protocol("the command is too long").await,
-            Input::Read(Err(ConnectionEnd::NoMemory)) => {
+            Input::Read(Err(ConnectionEnd::Malformed)) => self.fail_protocol("the command is too long").await,
+            Input::Read(Err(ConnectionEnd::OutOfMemory)) => {
                 self.reject_unread();
                 Ok(())
             }
             // A client that has sent nothing may yet ask, and would take an error for the answer.
-            Input::Read(Err(ConnectionEnd::Silent)) if !self.connection.buffer.is_empty() => {
+            Input::Read(Err(ConnectionEnd::TimedOut)) if !self.connection.buffer.is_empty() => {
                 self.fail_protocol("no whole command has come in time").await
             }
             Input::Read(Err(end)) | Input::End(end) => Err(end),
@@ -197,7 +197,8 @@
     async fn next_input(&mut self) -> Input {
         let is_reading = !self.pipeline.is_full() && !self.is_ending;
         let has_received = self.pipeline.received() > 0;
-        let begun_at = self.connection.buffer.since().or((!has_received).then_some(self.accepted_at));
+        let begun_at =
+            self.connection.buffer.message_began_at().or((!has_received).then_some(self.accepted_at));
         let deadline = begun_at.map(|begun_at| begun_at + COMMAND_TIMEOUT);
         if self.pipeline.is_empty() {
             return self.next_input_while_idle(is_reading, deadline).await;
@@ -205,7 +206,7 @@
         let reply = async {
             match self.replies.recv().await {
                 Ok(reply) => Input::Reply(reply),
-                Err(_) => Input::End(ConnectionEnd::Stopping),
+                Err(_) => Input::End(ConnectionEnd::ShuttingDown),
             }
         };
         future::or(reply, read(&mut self.connection, is_reading, deadline)).await
@@ -227,7 +228,7 @@
                 // A client that has just connected has its first command on the way.
                 Timer::after(SHUTDOWN_ACCEPT_PERIOD).await;
             }
-            Input::End(ConnectionEnd::Stopping)
+            Input::End(ConnectionEnd::ShuttingDown)
         };
         let evicted = async {
             let _ = self.evicted.recv().await;
@@ -262,6 +263,6 @@
     }
     match deadline {
         None => Input::Read(connection.read().await),
-        Some(deadline) => Input::Read(within(deadline, ConnectionEnd::Silent, connection.read()).await),
+        Some(deadline) => Input::Read(within(deadline, ConnectionEnd::TimedOut, connection.read()).await),
     }
 }
--- a/crates/gateway/src/downstream/ending.rs
+++ b/crates/gateway/src/downstream/ending.rs
@@ -52,7 +52,7 @@
         let mut pause = FIRST_LINGER_PAUSE;
         self.connection.finish();
         while received < MAX_LINGER_BYTES
-            && within(until, ConnectionEnd::Silent, self.connection.read()).await.is_ok()
+            && within(until, ConnectionEnd::TimedOut, self.connection.read()).await.is_ok()
         {
             let count = self.connection.buffer.filled().len();
             self.connection.buffer.consume(count);
--- a/crates/gateway/src/downstream/writing.rs
+++ b/crates/gateway/src/downstream/writing.rs
@@ -34,14 +34,14 @@
 
     async fn write_bytes(&mut self, bytes: &[u8]) -> Result<(), ConnectionEnd> {
         let until = Instant::now() + WRITE_TIMEOUT;
-        within(until, ConnectionEnd::Silent, self.connection.write_unless_closed(bytes)).await
+        within(until, ConnectionEnd::TimedOut, self.connection.write_unless_closed(bytes)).await
     }
 
     /// Writes a long value as its pieces come. Where they break off the connection ends, so that the client can tell.
     async fn write_stream(&mut self, stream: ResponseStream) -> Result<(), ConnectionEnd> {
         self.write_bytes(format!("${}\r\n", stream.length).as_bytes()).await?;
         loop {
-            let piece = async { stream.pieces.recv().await.map_err(|_| ConnectionEnd::Broken) };
+            let piece = async { stream.pieces.recv().await.map_err(|_| ConnectionEnd::IoError) };
             let disconnected = async { Err(self.connection.closed().await) };
             match future::or(piece, disconnected).await? {
                 Piece::Bytes(bytes) => self.write_bytes(&bytes).await?,
--- a/crates/gateway/src/operator/mod.rs
+++ b/crates/gateway/src/operator/mod.rs
@@ -21,11 +21,11 @@
 use self::call_task::CallTask;
 use crate::operator::metrics::PoolGauges;
 use crate::shared::Shared;
-use crate::transport::limits::OPERATORS;
+use crate::transport::limits::MAX_OPERATOR_CONNECTIONS;
 use crate::transport::syscall::AcceptFailure;
 
 /// Orders that wait at the dispatcher: those of the calls that are served at once, and of other processes.
-pub const MAX_QUEUED_ORDERS: usize = 2 * OPERATORS;
+pub const MAX_QUEUED_ORDERS: usize = 2 * MAX_OPERATOR_CONNECTIONS;
 
 /// An order to the dispatcher, which handles it before all events.
 pub enum Order {
@@ -94,7 +94,7 @@
         let (sender, evicted) = async_channel::bounded(1);
         let mut calls = self.0.borrow_mut();
         calls.push_back((number, sender));
-        if calls.len() > OPERATORS {
+        if calls.len() > MAX_OPERATOR_CONNECTIONS {
             calls.pop_front();
         }
         IncompleteCall { calls: self.clone(), number, evicted }
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -38,24 +38,28 @@
 
     fn outcome(self) -> Outcome {
         match (self.how, self.written) {
-            (ConnectionEnd::NoSocket | ConnectionEnd::Cordoned | ConnectionEnd::OldList, _)
-            | (ConnectionEnd::NoMemory | ConnectionEnd::Left | ConnectionEnd::Unwanted, false) => {
-                Outcome::NeverSent
-            }
-            (ConnectionEnd::GivenUp, _) => Outcome::Cancelled,
+            (ConnectionEnd::NoDescriptor | ConnectionEnd::Cordoned | ConnectionEnd::StaleEndpoints, _)
+            | (
+                ConnectionEnd::OutOfMemory | ConnectionEnd::EndpointChanged | ConnectionEnd::NotNeeded,
+                false,
+            ) => Outcome::NeverSent,
+            (ConnectionEnd::Cancelled, _) => Outcome::Cancelled,
             (_, false) => Outcome::NotConnected,
-            (ConnectionEnd::Silent | ConnectionEnd::Stalled, true) => Outcome::TimedOut,
-            (ConnectionEnd::Garbled | ConnectionEnd::NoMemory, true) => Outcome::Error,
+            (ConnectionEnd::TimedOut | ConnectionEnd::Stalled, true) => Outcome::TimedOut,
+            (ConnectionEnd::Malformed | ConnectionEnd::OutOfMemory, true) => Outcome::Error,
             (
-                ConnectionEnd::Closed | ConnectionEnd::Broken | ConnectionEnd::Idle | ConnectionEnd::Stopping,
+                ConnectionEnd::Closed
+                | ConnectionEnd::IoError
+                | ConnectionEnd::Idle
+                | ConnectionEnd::ShuttingDown,
                 true,
             ) => Outcome::Reset,
             // Nothing can have been written on a connection that was never made, or on which nothing was to begin.
             (
                 ConnectionEnd::Refused
-                | ConnectionEnd::NeverUp
-                | ConnectionEnd::Left
-                | ConnectionEnd::Unwanted,
+                | ConnectionEnd::ConnectTimeout
+                | ConnectionEnd::EndpointChanged
+                | ConnectionEnd::NotNeeded,
                 true,
             ) => Outcome::NotConnected,
         }
@@ -110,7 +114,7 @@
     match end {
         Ok(CounterTotal::Total(total)) => CounterCallEnd { outcome: Outcome::Ok, total: *total },
         Ok(CounterTotal::Full | CounterTotal::Error) => failed(Outcome::Overloaded),
-        Err(AttemptFailure { how: ConnectionEnd::Silent, written: true }) => failed(Outcome::TimedOut),
+        Err(AttemptFailure { how: ConnectionEnd::TimedOut, written: true }) => failed(Outcome::TimedOut),
         Err(failure) if failure.written => failed(Outcome::Error),
         Err(failure) => failed(failure.outcome()),
     }
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -32,7 +32,7 @@
 use crate::operator::{self, OperatorListener};
 use crate::shared::{Event, Shared, MAX_QUEUED_EVENTS, MAX_QUEUED_ORDERS};
 use crate::transport::clock::{Clock, ClockFault};
-use crate::transport::limits::{Limits, OPERATORS};
+use crate::transport::limits::{Limits, MAX_OPERATOR_CONNECTIONS};
 
 pub use super::start_error::StartError;
 
@@ -115,7 +115,7 @@
         limits: Limits::new(
             config.max_descriptors.saturating_sub(fleet_descriptors),
             config.memory_mb,
-            if has_operators { OPERATORS + 1 } else { 0 },
+            if has_operators { MAX_OPERATOR_CONNECTIONS + 1 } else { 0 },
         ),
         metrics: Metrics::new(&config.platform_settings.class_names),
         cordoned: RefCell::default(),
--- a/crates/gateway/src/transport/ending.rs
+++ b/crates/gateway/src/transport/ending.rs
@@ -5,40 +5,48 @@
 
 use super::syscall::ConnectFailure;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why a connection ended, or was not used.
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionEnd {
     /// No descriptor was left for it.
-    NoSocket,
+    NoDescriptor,
     /// No memory was left for what the other side wrote.
-    NoMemory,
+    OutOfMemory,
     /// Nobody listens there, or the dial failed in another way.
     Refused,
-    /// It was not up in time.
-    NeverUp,
+    /// It was not established in time.
+    ConnectTimeout,
     /// The other side closed it.
     Closed,
-    /// It broke.
-    Broken,
-    /// The other side wrote what can't be understood.
-    Garbled,
-    /// The other side said nothing, or read nothing, for as long as was waited for it.
-    Silent,
-    /// The other side had answered before, and fell silent.
+    /// Reading or writing failed.
+    IoError,
+    /// The other side sent a malformed message.
+    Malformed,
+    /// The other side neither sent nor read anything before the deadline.
+    TimedOut,
+    /// The other side stopped in the middle of its reply.
     Stalled,
-    /// What was asked on it is not wanted any more.
-    GivenUp,
-    /// The operators have taken the server out of use.
+    /// The request on it was cancelled.
+    Cancelled,
+    /// The server was cordoned by operators.
     Cordoned,
-    /// The server leaves, or is elsewhere by now.
-    Left,
-    /// The client has gone, and nothing was sent for it yet.
-    Unwanted,
-    /// What is known of the servers is too old to go by.
-    OldList,
-    /// It was not used for long, or its place is needed.
+    /// The server drains, was removed, or has another address.
+    EndpointChanged,
+    /// Nothing had been sent when the client disconnected or its deadline passed.
+    NotNeeded,
+    /// The endpoint list has expired.
+    StaleEndpoints,
+    /// It was idle for too long, or its slot was needed.
     Idle,
-    /// This gateway ends.
-    Stopping,
+    /// This gateway shuts down.
+    ShuttingDown,
+}
+
+/// As in log records, which print ends of attempts in this form.
+impl fmt::Debug for ConnectionEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
 }
 
 impl fmt::Display for ConnectionEnd {
@@ -51,29 +59,29 @@
     /// The name in log records and error texts. These stay as they are, whatever the variants are called.
     pub fn name(self) -> &'static str {
         match self {
-            ConnectionEnd::NoSocket => "NoSocket",
-            ConnectionEnd::NoMemory => "NoMemory",
+            ConnectionEnd::NoDescriptor => "NoSocket",
+            ConnectionEnd::OutOfMemory => "NoMemory",
             ConnectionEnd::Refused => "Refused",
-            ConnectionEnd::NeverUp => "NeverUp",
+            ConnectionEnd::ConnectTimeout => "NeverUp",
             ConnectionEnd::Closed => "Closed",
-            ConnectionEnd::Broken => "Broken",
-            ConnectionEnd::Garbled => "Garbled",
-            ConnectionEnd::Silent => "Silent",
+            ConnectionEnd::IoError => "Broken",
+            ConnectionEnd::Malformed => "Garbled",
+            ConnectionEnd::TimedOut => "Silent",
             ConnectionEnd::Stalled => "Stalled",
-            ConnectionEnd::GivenUp => "GivenUp",
+            ConnectionEnd::Cancelled => "GivenUp",
             ConnectionEnd::Cordoned => "Cordoned",
-            ConnectionEnd::Left => "Left",
-            ConnectionEnd::Unwanted => "Unwanted",
-            ConnectionEnd::OldList => "OldList",
+            ConnectionEnd::EndpointChanged => "Left",
+            ConnectionEnd::NotNeeded => "Unwanted",
+            ConnectionEnd::StaleEndpoints => "OldList",
             ConnectionEnd::Idle => "Idle",
-            ConnectionEnd::Stopping => "Stopping",
+            ConnectionEnd::ShuttingDown => "Stopping",
         }
     }
 
     /// How a dial that failed ends.
     pub fn of_dial(error: &io::Error) -> Self {
         match ConnectFailure::classify(error) {
-            ConnectFailure::TryAgain | ConnectFailure::NoDescriptor => ConnectionEnd::NoSocket,
+            ConnectFailure::TryAgain | ConnectFailure::NoDescriptor => ConnectionEnd::NoDescriptor,
             ConnectFailure::Unreachable => ConnectionEnd::Refused,
         }
     }
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -1,33 +1,36 @@
-//! How many sockets, transactions and bytes this gateway may hold: all of it follows from the configuration's limits.
+//! How many descriptors, requests and bytes this gateway may hold: all of it follows from the configuration's limits.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use crate::protocol::resp::MOST_MESSAGE;
 
-/// Descriptors that are neither clients' nor servers': three standard streams, three of the reactor, two for signals,
-/// the listener, a connection of the list and of the counter, those of counters that were left and still owe answers,
-/// one that was accepted and has no place yet, and as many again for what closes late.
-const OWN: usize = 24;
-/// Callers at the second address that may be in the middle of a call: a few operators and what scrapes the figures,
-/// with as many that stall.
-pub const OPERATORS: usize = 16;
-/// Share of the rest that servers' connections may take, in tenths: one for each trip, and clients wait more than they
-/// are served. What clients then have is more than half of all: they use a third, and that of a gateway that restarts
-/// comes on top.
+/// Descriptors that are neither clients' nor servers': three standard streams, three of the reactor, two for signals, the listener,
+/// a connection to discovery and to the counter, those to earlier counters that still owe replies, one that was accepted and has no
+/// slot yet, and as many again for what closes late.
+const OWN_DESCRIPTORS: usize = 24;
+
+/// Operators' connections with a call in progress: a few operators and the scrape of metrics, with as many that stall.
+pub const MAX_OPERATOR_CONNECTIONS: usize = 16;
+
+/// Tenths of the remaining descriptors that connections to servers may take, one for each attempt. Clients use a third of all,
+/// and those of a gateway that restarts are added to it.
 const SERVERS_TENTHS: usize = 3;
-/// Of the clients' share, what is kept for telling those beyond it that they can't be served, in tenths.
-const TURNED_AWAY_TENTHS: usize = 1;
-/// Memory of the program itself and of what the module keeps, MiB: it takes two at rest, five with all the customers
-/// that it remembers.
+
+/// Tenths of the clients' descriptors that are kept for telling clients beyond the limit that they can't be served.
+const REJECTED_TENTHS: usize = 1;
+
+/// Memory in MiB of the program itself and of what the decision module retains.
 const PROGRAM_MIB: usize = 8;
-/// The rest goes in equal parts to the records of open transactions, their bytes, messages of clients and of servers
-/// that have begun and are not there whole, and values on their way to clients with what is lost in between.
-const PARTS: usize = 5;
-/// Bytes that the records of an open transaction take here and in the module, beside its own, generously.
-const RECORDS: usize = 4 * 1024;
 
-/// Counts what is out; each takes one place and gives it back when dropped.
+/// The remaining memory has equal parts: records of open requests, their bytes, incomplete messages of clients, those of servers,
+/// and values on their way to clients with the allocator's overhead.
+const MEMORY_PARTS: usize = 5;
+
+/// Bytes that the records of an open request take at most, here and in the decision module, beside its own bytes.
+const REQUEST_RECORD_SIZE: usize = 4 * 1024;
+
+/// Counts reservations against a capacity. A reservation frees its slots when it is dropped.
 #[derive(Clone)]
 pub struct Slots {
     used: Rc<Cell<usize>>,
@@ -35,79 +38,90 @@
 }
 
 impl Slots {
-    pub fn new(most: usize) -> Self {
-        Slots { used: Rc::default(), capacity: Rc::new(Cell::new(most)) }
+    /// So many slots, all free.
+    pub fn new(capacity: usize) -> Self {
+        Slots { used: Rc::default(), capacity: Rc::new(Cell::new(capacity)) }
     }
 
+    /// Takes so many slots; none where fewer are free.
     pub fn reserve(&self, count: usize) -> Option<Reservation> {
-        let taken = self.used.get() + count;
-        if taken > self.capacity.get() {
+        let used = self.used.get() + count;
+        if used > self.capacity.get() {
             return None;
         }
-        self.used.set(taken);
-        Some(Reservation { taken: self.used.clone(), count })
+        self.used.set(used);
+        Some(Reservation { used: self.used.clone(), count })
     }
 
+    /// How many are taken.
     pub fn used(&self) -> usize {
         self.used.get()
     }
 
-    /// Makes a place larger or smaller; false, and as it was, where there is no room for that.
-    pub fn resize(&self, place: &mut Reservation, count: usize) -> bool {
-        let taken = self.used.get() - place.count + count;
-        if taken > self.capacity.get() && count > place.count {
+    /// Makes a reservation larger or smaller; false, and unchanged, where too few slots are free.
+    pub fn resize(&self, reservation: &mut Reservation, count: usize) -> bool {
+        let used = self.used.get() - reservation.count + count;
+        if used > self.capacity.get() && count > reservation.count {
             return false;
         }
-        self.used.set(taken);
-        place.count = count;
+        self.used.set(used);
+        reservation.count = count;
         true
     }
 
+    /// How many there are.
     pub fn capacity(&self) -> usize {
         self.capacity.get()
     }
 
-    /// At least a third is free.
+    /// Whether at least a third is free.
     pub fn has_spare(&self) -> bool {
         3 * self.used.get() <= 2 * self.capacity.get()
     }
 
-    /// At least a quarter is free.
+    /// Whether at least a quarter is free.
     pub fn is_mostly_free(&self) -> bool {
         4 * self.used.get() <= 3 * self.capacity.get()
     }
 }
 
+/// Slots that are taken until this is dropped.
 pub struct Reservation {
-    taken: Rc<Cell<usize>>,
+    used: Rc<Cell<usize>>,
     count: usize,
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.taken.set(self.taken.get() - self.count);
+        self.used.set(self.used.get() - self.count);
     }
 }
 
+/// What this process may hold of each kind.
 #[derive(Clone)]
 pub struct Limits {
-    /// Connections of clients that are served, and of those that are only turned away.
+    /// Connections of clients that are served.
     pub clients: Slots,
+    /// Connections of clients that are only told that they can't be served.
     pub rejected: Slots,
+    /// Connections to servers.
     pub servers: Slots,
-    /// Transactions, and bytes of them.
+    /// Open requests.
     pub open: Slots,
+    /// Bytes of open requests.
     pub bytes: Slots,
-    /// Bytes of messages that have begun.
+    /// Bytes of clients' messages that are not complete yet.
     pub from_clients: Slots,
+    /// Bytes of servers' messages that are not complete yet.
     pub from_servers: Slots,
+    /// Descriptors of the configured parts beyond the gateway's own.
     reserved: usize,
     memory_mb: usize,
 }
 
 impl Limits {
-    /// `reserved`: descriptors for what else this gateway has been told to have.
-    pub fn new(sockets: usize, memory_mb: usize, reserved: usize) -> Self {
+    /// The limits of a gateway with so many descriptors, of which `reserved` are for the parts that are configured.
+    pub fn new(descriptors: usize, memory_mb: usize, reserved: usize) -> Self {
         let limits = Limits {
             clients: Slots::new(0),
             rejected: Slots::new(0),
@@ -119,29 +133,29 @@
             reserved,
             memory_mb,
         };
-        limits.set_process_share(sockets, 1);
+        limits.set_process_share(descriptors, 1);
         limits
     }
 
-    /// Goes by other limits from now on: so many descriptors, and memory shared by so many processes. What is out
-    /// beyond them stays until it is given back.
-    pub fn set_process_share(&self, sockets: usize, processes: usize) {
-        let (reserved, memory_mb) = (self.reserved, self.memory_mb / processes.max(1));
-        let rest = sockets.saturating_sub(OWN + reserved);
-        let servers = rest * SERVERS_TENTHS / 10;
-        let turned_away = (rest - servers) * TURNED_AWAY_TENTHS / 10;
-        let part = (memory_mb.saturating_sub(PROGRAM_MIB) * 1024 * 1024 / PARTS).max(MOST_MESSAGE);
-        self.clients.capacity.set(rest - servers - turned_away);
-        self.rejected.capacity.set(turned_away);
+    /// Changes the limits to so many descriptors, and memory shared by so many processes. Reservations beyond them stay until
+    /// they are dropped.
+    pub fn set_process_share(&self, descriptors: usize, processes: usize) {
+        let memory_mb = self.memory_mb / processes.max(1);
+        let remaining = descriptors.saturating_sub(OWN_DESCRIPTORS + self.reserved);
+        let servers = remaining * SERVERS_TENTHS / 10;
+        let rejected = (remaining - servers) * REJECTED_TENTHS / 10;
+        let part = (memory_mb.saturating_sub(PROGRAM_MIB) * 1024 * 1024 / MEMORY_PARTS).max(MOST_MESSAGE);
+        self.clients.capacity.set(remaining - servers - rejected);
+        self.rejected.capacity.set(rejected);
         self.servers.capacity.set(servers);
-        self.open.capacity.set(part / RECORDS);
-        for places in [&self.bytes, &self.from_clients, &self.from_servers] {
-            places.capacity.set(part);
+        self.open.capacity.set(part / REQUEST_RECORD_SIZE);
+        for slots in [&self.bytes, &self.from_clients, &self.from_servers] {
+            slots.capacity.set(part);
         }
     }
 
-    /// Descriptors that are taken, with those that this gateway has for itself.
+    /// Descriptors in use, with those that are kept for the gateway itself.
     pub fn used_descriptors(&self) -> usize {
-        OWN + self.reserved + self.clients.used() + self.rejected.used() + self.servers.used()
+        OWN_DESCRIPTORS + self.reserved + self.clients.used() + self.rejected.used() + self.servers.used()
     }
 }
--- a/crates/gateway/src/upstream/duplicate.rs
+++ b/crates/gateway/src/upstream/duplicate.rs
@@ -86,8 +86,8 @@
             write_fence(&mut connection, until).await;
         }
         loop {
-            if connection.spoilt {
-                return Err(AttemptFailure::unanswered(ConnectionEnd::Garbled));
+            if connection.desynchronized {
+                return Err(AttemptFailure::unanswered(ConnectionEnd::Malformed));
             }
             connection.acknowledge();
             let scan = |bytes: &[u8], ended: bool| self.scan_following(bytes, ended);
@@ -102,7 +102,7 @@
                 Following::Reply(reply) if is_value(&reply, last_value) => {}
                 Following::Reply(reply) if is_error(&reply) => {
                     // Danger: it may be the fence's, and `-BUSY` would be taken for a call that was never executed.
-                    return Err(AttemptFailure::unanswered(ConnectionEnd::Garbled));
+                    return Err(AttemptFailure::unanswered(ConnectionEnd::Malformed));
                 }
                 Following::Reply(reply) => return Ok(Exchanged { reply, connection, read_delay }),
             }
@@ -147,7 +147,7 @@
 /// Writes the fence. Where that fails, what has come already may still be read, and the connection's end after it.
 pub(super) async fn write_fence(connection: &mut Connection, until: Instant) {
     let fence = resp::write_command(FENCE);
-    let _ = within(until, ConnectionEnd::Silent, connection.write(&fence)).await;
+    let _ = within(until, ConnectionEnd::TimedOut, connection.write(&fence)).await;
     connection.fence_pending = true;
 }
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -105,12 +105,12 @@
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<Exchanged<T>, AttemptFailure> {
         let began_at = Instant::now();
-        let checkout = within(until, ConnectionEnd::NeverUp, self.pool.acquire());
+        let checkout = within(until, ConnectionEnd::ConnectTimeout, self.pool.acquire());
         let Checkout { connection, idle_for } = checkout.await.map_err(AttemptFailure::unsent)?;
         let dial_delay = if idle_for.is_none() { connection.read_delay(began_at) } else { Duration::ZERO };
         // There must be no await between this check and the first byte.
         if let Err(how) = self.check_may_begin(&connection, until, call) {
-            if how == ConnectionEnd::Unwanted {
+            if how == ConnectionEnd::NotNeeded {
                 self.pool.release(connection);
             }
             return Err(AttemptFailure::unsent(how));
@@ -130,23 +130,23 @@
     ) -> Result<(), ConnectionEnd> {
         // Danger: this process was suspended, and nobody waits for what the server would do.
         if Instant::now() >= until {
-            return Err(ConnectionEnd::Unwanted);
+            return Err(ConnectionEnd::NotNeeded);
         }
         // Danger: the client has disconnected meanwhile. To begin nothing is not a cancellation, and always allowed.
         if call.is_some_and(|call| call.client_gone.get()) {
-            return Err(ConnectionEnd::Unwanted);
+            return Err(ConnectionEnd::NotNeeded);
         }
         // Danger: the server has been cordoned meanwhile, drains, was removed, or has another address.
         if self.shared.cordoned.borrow().contains(&self.server) {
             return Err(ConnectionEnd::Cordoned);
         }
         if self.shared.draining.borrow().contains(&self.server) || !self.pool.is_connected(connection) {
-            return Err(ConnectionEnd::Left);
+            return Err(ConnectionEnd::EndpointChanged);
         }
         // Danger: this process was suspended, and resumes with an endpoint list that has expired.
         let fresh_until = self.shared.endpoints_fresh_until.get();
         if fresh_until < Micros::MAX && boottime() >= fresh_until {
-            return Err(ConnectionEnd::OldList);
+            return Err(ConnectionEnd::StaleEndpoints);
         }
         Ok(())
     }
@@ -161,7 +161,7 @@
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<Exchanged<T>, AttemptFailure> {
         let written_at = Instant::now();
-        within(until, ConnectionEnd::Silent, connection.write(command))
+        within(until, ConnectionEnd::TimedOut, connection.write(command))
             .await
             .map_err(AttemptFailure::unsent)?;
         if call.is_some() {
@@ -190,7 +190,7 @@
             Err(how) => match scan(connection.buffer.filled(), true) {
                 // All that matters has come, and the connection can't be used again.
                 Ok(Some((reply, _))) => {
-                    connection.spoilt = true;
+                    connection.desynchronized = true;
                     // The wait for what was missing is the server's.
                     Ok(Exchanged { reply, connection, read_delay: Duration::ZERO })
                 }
@@ -237,7 +237,7 @@
     length: usize,
     pieces: &Sender<Piece>,
 ) -> Result<(), AttemptFailure> {
-    let client_gone = |_| AttemptFailure::unanswered(ConnectionEnd::GivenUp);
+    let client_gone = |_| AttemptFailure::unanswered(ConnectionEnd::Cancelled);
     let mut remaining = length;
     while remaining > 0 {
         let until = Instant::now() + STREAM_STALL_TIMEOUT;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -174,7 +174,7 @@
             request,
             attempt,
             server: self.server.clone(),
-            end: Err(AttemptFailure::unsent(ConnectionEnd::GivenUp)),
+            end: Err(AttemptFailure::unsent(ConnectionEnd::Cancelled)),
             elapsed: micros(began_at.elapsed()),
             read_delay: 0,
         };
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -78,11 +78,11 @@
     ///
     /// # Errors
     ///
-    /// [`ConnectionEnd::NoSocket`] where no descriptor is left, else the way in which the dial failed.
+    /// [`ConnectionEnd::NoDescriptor`] where no descriptor is left, else the way in which the dial failed.
     pub(super) async fn acquire(&self) -> Result<Checkout, ConnectionEnd> {
         match self.take_rested() {
             Some(connection) => {
-                let idle_for = Some(connection.used.elapsed());
+                let idle_for = Some(connection.last_used.elapsed());
                 Ok(Checkout { connection, idle_for })
             }
             None => Ok(Checkout { connection: self.dial().await?, idle_for: None }),
@@ -92,9 +92,9 @@
     /// Takes a connection back, and closes it unless it can be used again and descriptors are left for other servers.
     pub(super) fn release(&self, mut connection: Connection) {
         let owes_nothing = connection.buffer.is_empty() && !connection.fence_pending;
-        let is_reusable = owes_nothing && !connection.spoilt && self.is_connected(&connection);
+        let is_reusable = owes_nothing && !connection.desynchronized && self.is_connected(&connection);
         if is_reusable && self.shared.limits.servers.is_mostly_free() {
-            connection.used = Instant::now();
+            connection.last_used = Instant::now();
             self.idle.borrow_mut().push(connection);
         }
     }
@@ -108,7 +108,7 @@
             }
             (
                 Some(idle_for),
-                Err(AttemptFailure { how: ConnectionEnd::Broken | ConnectionEnd::Closed, .. }),
+                Err(AttemptFailure { how: ConnectionEnd::IoError | ConnectionEnd::Closed, .. }),
             ) => self.idle_limit.set(idle_for / EARLY_CLOSE_DIVISOR),
             _ => {}
         }
@@ -116,7 +116,7 @@
 
     /// Whether an idle connection is open, and young enough that the server won't close it under an attempt.
     fn is_reusable(&self, connection: &Connection) -> bool {
-        connection.used.elapsed() < self.idle_limit.get() && connection.has_no_input()
+        connection.last_used.elapsed() < self.idle_limit.get() && connection.has_no_input()
     }
 
     /// The reusable connection used last, so that those not needed any more grow old.
@@ -125,7 +125,7 @@
         // One reading of the clock for all: a reading for each connection would cost more than the search.
         let now = Instant::now();
         let mut rested =
-            idle.partition_point(|connection| now.duration_since(connection.used) >= REST_AFTER_REPLY);
+            idle.partition_point(|connection| now.duration_since(connection.last_used) >= REST_AFTER_REPLY);
         while rested > 0 {
             rested -= 1;
             let connection = idle.remove(rested);
@@ -137,7 +137,7 @@
     }
 
     async fn dial(&self) -> Result<Connection, ConnectionEnd> {
-        let slot = self.shared.limits.servers.reserve(1).ok_or(ConnectionEnd::NoSocket)?;
+        let slot = self.shared.limits.servers.reserve(1).ok_or(ConnectionEnd::NoDescriptor)?;
         let limit = Duration::from_micros(self.shared.platform.connect_timeout);
         let buffer = Buffer::new(resp::MOST_MESSAGE, Some(self.shared.limits.from_servers.clone()));
         Connection::connect(self.address.get(), limit, buffer, Some(slot)).await
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -829,7 +829,7 @@
             });
         let end = async_io::block_on(end);
         let late = ends.join().expect("it ends").elapsed();
-        assert!(matches!(end, Some(Err(ConnectionEnd::Closed | ConnectionEnd::Broken))), "{end:?}");
+        assert!(matches!(end, Some(Err(ConnectionEnd::Closed | ConnectionEnd::IoError))), "{end:?}");
         assert!(late < Duration::from_millis(300), "seen {late:?} later");
     }
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -62,10 +62,12 @@
     // EINTR, EAGAIN, ENOMEM, EADDRNOTAVAIL, ENOBUFS.
     for here in [4, 11, 12, 99, 105] {
         assert_eq!(after_dials(&[Some(here), Some(here), None]), (Ok(()), 3), "{here}");
-        assert_eq!(after_dials(&[Some(here)]), (Err(ConnectionEnd::NoSocket), 10), "{here}");
+        assert_eq!(after_dials(&[Some(here)]), (Err(ConnectionEnd::NoDescriptor), 10), "{here}");
     }
     // ENFILE, EMFILE: what has one must end first.
-    assert!([23, 24].into_iter().all(|here| after_dials(&[Some(here)]) == (Err(ConnectionEnd::NoSocket), 1)));
+    assert!([23, 24]
+        .into_iter()
+        .all(|here| after_dials(&[Some(here)]) == (Err(ConnectionEnd::NoDescriptor), 1)));
     // ENETUNREACH, ECONNRESET, ETIMEDOUT, ECONNREFUSED, EHOSTUNREACH.
     let there = [101, 104, 110, 111, 113];
     assert!(there.into_iter().all(|there| after_dials(&[Some(there)]) == (Err(ConnectionEnd::Refused), 1)));
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -326,12 +326,15 @@
         }
     };
     let (mut alone, all) = (Buffer::new(5_000, None), Slots::new(9_000));
-    assert_eq!((fill(&mut alone), alone.filled().len()), (ConnectionEnd::Garbled, 5_000));
+    assert_eq!((fill(&mut alone), alone.filled().len()), (ConnectionEnd::Malformed, 5_000));
     let mut both = [Buffer::new(5_000, Some(all.clone())), Buffer::new(5_000, Some(all.clone()))];
-    assert_eq!((fill(&mut both[0]), fill(&mut both[1])), (ConnectionEnd::Garbled, ConnectionEnd::NoMemory));
+    assert_eq!(
+        (fill(&mut both[0]), fill(&mut both[1])),
+        (ConnectionEnd::Malformed, ConnectionEnd::OutOfMemory)
+    );
     assert_eq!((all.used(), both[1].filled().len()), (7_048, 2_048));
     both[0].consume(5_000);
-    assert_eq!((fill(&mut both[1]), all.used()), (ConnectionEnd::Garbled, 5_000));
+    assert_eq!((fill(&mut both[1]), all.used()), (ConnectionEnd::Malformed, 5_000));
 }
 
 /// A long value is known by its head, wherever the bytes are cut, and what stands behind it is read or done without.
