Review: a case that is told to end takes its gateway along

Cause: a script that is ended from outside left the gateway that it had started. Change: the stand-ins cancel the case at SIGTERM, SIGINT and SIGHUP, and its end stops the gateway.

--- a/review/standins.py
+++ b/review/standins.py
@@ -286,7 +286,11 @@
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     async def whole():
         # What the stand-ins still do when the case is over, and how their connections end, is of no interest.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        # A case that is told to end takes its gateway along.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         return await asyncio.wait_for(play(record, with_trouble), 110)
 
     try:
@@ -295,7 +299,7 @@
         record("case", f"could not run: {error}")
         print(f"could not run: {error}")
         return 2
-    except Exception as error:  # noqa: BLE001: whatever else goes wrong is no verdict on the rule
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001: whatever else goes wrong is no verdict on the rule
         record("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
