Parse servers' replies in a module of their own

What parses and describes servers' replies moves to protocol/reply.rs unchanged; call.rs keeps commands and the answers to clients. No behaviour changes.

--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -4,7 +4,7 @@
 use fernscale_outlier_detection::detector::AttemptResult;
 use fernscale_policy::{Micros, Outcome};
 
-use crate::protocol::call::ServerReply;
+use crate::protocol::reply::ServerReply;
 use crate::transport::ending::ConnectionEnd;
 
 /// The counter's answer to a call.
--- a/crates/gateway/src/protocol/mod.rs
+++ b/crates/gateway/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 pub mod catalog;
 pub mod http;
 pub mod operator;
+pub mod reply;
 pub mod resp;
 
 /// A parsed message and its length in bytes; `None` while the message is incomplete; an error that says why the bytes
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -18,7 +18,7 @@
 use super::limits::Reservation;
 use super::stream::write_all;
 use super::syscall::{connect_with_retries, uninterrupted};
-use crate::protocol::call::ValueFingerprint;
+use crate::protocol::reply::ValueFingerprint;
 use crate::protocol::Scanned;
 
 /// Size in bytes of the chunks in which a long value is forwarded. A value occupies up to three chunks: one on each side and one
--- a/crates/gateway/src/upstream/duplicate.rs
+++ b/crates/gateway/src/upstream/duplicate.rs
@@ -18,7 +18,7 @@
 use super::exchange::CompletedExchange;
 use super::Upstream;
 use crate::outcome::AttemptFailure;
-use crate::protocol::call::{self, ReceivedReply, ServerReply, ValueFingerprint};
+use crate::protocol::reply::{self, ReceivedReply, ServerReply, ValueFingerprint};
 use crate::protocol::resp::{self, Reply};
 use crate::protocol::Scanned;
 use crate::transport::connection::{with_deadline, Connection};
@@ -115,7 +115,7 @@
         if let Some(length) = fence_reply(bytes) {
             return Ok(Some((NextMessage::Fence, length)));
         }
-        let reply = call::scan_reply(bytes, ended, self.load_fields())?;
+        let reply = reply::scan_reply(bytes, ended, self.load_fields())?;
         Ok(reply.map(|(reply, length)| (NextMessage::Reply(reply), length)))
     }
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -13,7 +13,8 @@
 use super::pool::Checkout;
 use super::Upstream;
 use crate::outcome::AttemptFailure;
-use crate::protocol::call::{self, Call, ReceivedReply, ServerReply};
+use crate::protocol::call::Call;
+use crate::protocol::reply::{self, ReceivedReply, ServerReply};
 use crate::protocol::resp::{self, LongValueHead, Reply};
 use crate::protocol::Scanned;
 use crate::shared::{Event, Piece, ResponseStream};
@@ -53,7 +54,7 @@
         let deadline = created_at + Duration::from_micros(limit);
         // The server is told the time that is left after the order has waited and the connection has been established.
         let command = || call.command(micros(deadline.saturating_duration_since(Instant::now())).min(limit));
-        let scan = |bytes: &[u8], ended: bool| call::scan_reply(bytes, ended, self.load_fields());
+        let scan = |bytes: &[u8], ended: bool| reply::scan_reply(bytes, ended, self.load_fields());
         let received = self.exchange(command, deadline, Some(call), scan).await?;
         let CompletedExchange { reply, mut connection, read_delay } =
             self.skip_duplicates(received, deadline, &call.request.id).await?;
@@ -218,7 +219,7 @@
         drop(sender);
         let following_items = head.items - 1;
         let timeout = self.message_timeout();
-        let scan = |bytes: &[u8]| call::scan_after_value(bytes, following_items, false, self.load_fields());
+        let scan = |bytes: &[u8]| reply::scan_after_value(bytes, following_items, false, self.load_fields());
         match connection.message(scan, Instant::now() + timeout, timeout).await {
             Ok(reply) => {
                 self.release(connection);
@@ -226,7 +227,7 @@
             }
             Err(how) => {
                 let received = connection.buffer.filled();
-                match call::scan_after_value(received, following_items, true, self.load_fields()) {
+                match reply::scan_after_value(received, following_items, true, self.load_fields()) {
                     Ok(Some((reply, _))) => Ok(reply),
                     _ => Err(AttemptFailure::unanswered(how)),
                 }
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -16,6 +16,7 @@
 use fernscale_gateway::outcome::{attempt_outcome, counter_call_end};
 use fernscale_gateway::protocol::call::{self, Command};
 use fernscale_gateway::protocol::catalog::{self, EndpointUpdate};
+use fernscale_gateway::protocol::reply::ServerReply;
 use fernscale_gateway::shared::{Event, Shared};
 use fernscale_gateway::transport::buffer::Buffer;
 use fernscale_gateway::transport::clock::slew;
@@ -727,7 +728,7 @@
         let mut next = |event| match event {
             Event::AttemptCompleted(end) => {
                 let value = end.end.as_ref().ok().map(|(reply, _)| match reply {
-                    call::ServerReply::Completed { value, .. } => String::from_utf8_lossy(value).into_owned(),
+                    ServerReply::Completed { value, .. } => String::from_utf8_lossy(value).into_owned(),
                     _ => "another".into(),
                 });
                 ends[end.attempt].push((attempt_outcome(&end.end), value));
--- a/crates/gateway/tests/duplicate_replies.rs
+++ b/crates/gateway/tests/duplicate_replies.rs
@@ -11,7 +11,8 @@
 
 use async_io::Timer;
 use fernscale_gateway::outcome::attempt_outcome;
-use fernscale_gateway::protocol::call::{self, Call, Command, ServerReply};
+use fernscale_gateway::protocol::call::{self, Call, Command};
+use fernscale_gateway::protocol::reply::ServerReply;
 use fernscale_gateway::protocol::resp;
 use fernscale_gateway::shared::{Event, Shared};
 use fernscale_gateway::upstream::{self, Order};
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -1,7 +1,7 @@
 //! The results of attempts that are passed to outlier detection.
 
 use fernscale_gateway::outcome::{observed_result, AttemptFailure};
-use fernscale_gateway::protocol::call::ServerReply;
+use fernscale_gateway::protocol::reply::ServerReply;
 use fernscale_outlier_detection::detector::AttemptResult;
 
 /// Guards against a gateway that was stalled reporting the stall to the fleet as a server's latency.
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! The parsers on every split of their input, on generated input, and on malicious input.
 
-use fernscale_gateway::protocol::call::{self, Command, FinalAnswer, ServerReply};
+use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
+use fernscale_gateway::protocol::reply::{self, ServerReply};
 use fernscale_gateway::protocol::{http, resp, Scanned};
 use fernscale_gateway::transport::buffer::Buffer;
 use fernscale_gateway::transport::ending::ConnectionEnd;
@@ -268,7 +269,7 @@
 fn replies_of_servers_are_parsed_as_the_protocol_says() {
     let names = vec!["busy_reqs".to_string()];
     let parse =
-        |bytes: &[u8]| Ok::<_, &str>(call::scan_complete_reply(bytes, false, &names)?.expect("complete").0);
+        |bytes: &[u8]| Ok::<_, &str>(reply::scan_complete_reply(bytes, false, &names)?.expect("complete").0);
     let (completed, load) =
         parse(b"*3\r\n$2\r\nok\r\n$14\r\nused=86,cost=3\r\n$11\r\nbusy_reqs=7\r\n").expect("an answer");
     assert_eq!(completed, ServerReply::Completed { value: b"ok"[..].into(), units: Some(3.0) });
@@ -290,17 +291,20 @@
     {
         let reply = format!("*3\r\n$2\r\nok\r\n{following}");
         assert!(
-            !matches!(call::scan_complete_reply(reply.as_bytes(), false, &names), Ok(Some(_))),
+            !matches!(reply::scan_complete_reply(reply.as_bytes(), false, &names), Ok(Some(_))),
             "{reply}"
         );
-        let at_end = call::scan_complete_reply(reply.as_bytes(), true, &names);
+        let at_end = reply::scan_complete_reply(reply.as_bytes(), true, &names);
         assert_eq!(at_end.expect("valid").expect("complete").0 .0, value);
     }
-    assert!(call::scan_complete_reply(b"*3\r\n*3\r\n", false, &names).is_err(), "the first item is no value");
+    assert!(
+        reply::scan_complete_reply(b"*3\r\n*3\r\n", false, &names).is_err(),
+        "the first item is no value"
+    );
     for corrupted in ["*3\r\n$2\r\no", "*3\r\n$1\r\nok\r\n", "*3\r\n$3000000000\r\nok", "*-7\r\n", "*3", "x"]
     {
         assert!(
-            !matches!(call::scan_complete_reply(corrupted.as_bytes(), true, &names), Ok(Some(_))),
+            !matches!(reply::scan_complete_reply(corrupted.as_bytes(), true, &names), Ok(Some(_))),
             "{corrupted}"
         );
     }
@@ -381,8 +385,8 @@
     let names = ["pending".to_string()];
     let end = b"\r\n$8\r\ncost=2.5\r\n$9\r\npending=7\r\n";
     for cut in 0..end.len() {
-        assert_eq!(call::scan_after_value(&end[..cut], 2, false, &names), Ok(None), "{cut}");
-        let ended = call::scan_after_value(&end[..cut], 2, true, &names);
+        assert_eq!(reply::scan_after_value(&end[..cut], 2, false, &names), Ok(None), "{cut}");
+        let ended = reply::scan_after_value(&end[..cut], 2, true, &names);
         match cut {
             0 | 1 => assert!(ended.is_err()),
             _ => assert_eq!(
@@ -393,10 +397,10 @@
     }
     let load = LoadReport { queued: Some(7.0), ..LoadReport::default() };
     let with_report = (ServerReply::Streamed { units: Some(2.5) }, load);
-    assert_eq!(call::scan_after_value(end, 2, false, &names), Ok(Some((with_report, end.len()))));
-    assert!(call::scan_after_value(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
+    assert_eq!(reply::scan_after_value(end, 2, false, &names), Ok(Some((with_report, end.len()))));
+    assert!(reply::scan_after_value(b"vv$-1\r\n$-1\r\n", 2, false, &names).is_err());
     assert!(matches!(
-        call::scan_after_value(b"\r\n?what\r\n", 2, false, &names),
+        reply::scan_after_value(b"\r\n?what\r\n", 2, false, &names),
         Ok(Some(((ServerReply::Streamed { units: None }, _), 9)))
     ));
 }
@@ -411,7 +415,7 @@
     for reply in replies.map(str::as_bytes) {
         let cuts = (0..reply.len()).filter(|cut| *cut < 100 || reply.len() - cut < 100);
         for cut in cuts {
-            let scanned = call::scan_reply(&reply[..cut], false, &[]);
+            let scanned = reply::scan_reply(&reply[..cut], false, &[]);
             assert!(
                 scanned.is_ok(),
                 "{:?}, cut after {cut}: {:?}",
@@ -419,6 +423,6 @@
                 scanned.err()
             );
         }
-        assert!(matches!(call::scan_reply(reply, false, &[]), Ok(Some(_))));
+        assert!(matches!(reply::scan_reply(reply, false, &[]), Ok(Some(_))));
     }
 }
