Log values that are passed on without the rest of their reply

What the log could not say: a value may be served although the items behind it are missing or malformed, and nothing told such a value from one of a whole reply.

Change: log event reply.incomplete (info) with the server and how the wait, or the connection, ended. Behaviour is as before.

--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -8,6 +8,7 @@
 
 use async_channel::Sender;
 use fernscale_policy::{Id, LoadReport, Micros};
+use slog::info;
 
 use super::duplicate::write_fence;
 use super::pool::Checkout;
@@ -195,6 +196,7 @@
             Err(how) => match scan(connection.buffer.filled(), true) {
                 // Everything that matters was received, but the connection can't be reused.
                 Ok(Some((reply, _))) => {
+                    self.log_incomplete_reply(how);
                     connection.desynchronized = true;
                     // The server caused the wait for the missing bytes.
                     Ok(CompletedExchange { reply, connection, read_delay: Duration::ZERO })
@@ -228,12 +230,21 @@
             Err(how) => {
                 let received = connection.buffer.filled();
                 match reply::scan_after_value(received, following_items, true, self.load_fields()) {
-                    Ok(Some((reply, _))) => Ok(reply),
+                    Ok(Some((reply, _))) => {
+                        self.log_incomplete_reply(how);
+                        Ok(reply)
+                    }
                     _ => Err(AttemptFailure::unanswered(how)),
                 }
             }
         }
     }
+
+    /// Logs that a value was forwarded although `how` ended the connection, or the wait for the rest of its reply.
+    fn log_incomplete_reply(&self, how: ConnectionEnd) {
+        info!(self.shared.log, #"reply.incomplete", "value forwarded without the rest of its reply";
+            "server" => &*self.server, "end" => how.name());
+    }
 }
 
 /// Streams a value of `length` bytes to the client's connection task. The line end after the value is checked but not consumed.
