A value is served only once what follows it confirms its length

What callers saw: a value that took in what its server had written behind it ('...\r\n$-1'), as a well-formed bulk string, so that they could not tell.

Cause: a value was taken for whole as soon as a line end stood where its announced length says. A length too large by whole items ends at a line end too; the array then lacks items, and where an array did not come whole the value was served 'whatever stands behind it'. The same on three related paths: a rest that can't be parsed, the reply to SELECT in the place of the missing item, and values over 64 KiB, whose line end was written before anything behind it was read.

A length that is too large takes the value's own line end into the value. So a value with a line end in it needs all items behind it, bulk strings or nulls, and not from an earlier line end on as well; any other value needs only that nothing else than an item follows, as reports may be cut off or unreadable. A streamed value gets its line end only then, for which a second is waited; else its client's connection ends. What fails this is a failed attempt that may have run.

Why it works: if the length is too large, the true end of the value lies within the announced one, with a line end; without one it can't be.

Tests, order forced by the bytes, no time in it.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -12,3 +12,4 @@
 mod records;
 mod signals;
 mod upgrade;
+mod wrong_lengths;
--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -56,6 +56,14 @@
     MissingLineEnd {
         length: usize,
     },
+    /// Answers with a value of `length` bytes, announces it as `excess` bytes longer, and sends these items behind it. Then closes
+    /// the connection, or keeps it open.
+    WrongLength {
+        length: usize,
+        excess: usize,
+        items: &'static str,
+        closes: bool,
+    },
     /// Answers the first attempt on a connection, and closes the connection on the second.
     ServeOnce,
 }
@@ -162,6 +170,12 @@
                     write(format!("*3\r\n${length}\r\n").as_bytes());
                     write(&vec![b'v'; length]) && write(b"vv$-1\r\n$-1\r\n")
                 }
+                Behavior::WrongLength { length, excess, items, closes } => {
+                    let announced = length + excess;
+                    let padding = "v".repeat(length - value.len());
+                    let reply = format!("*3\r\n${announced}\r\n{value}{padding}\r\n{items}");
+                    write(reply.as_bytes()) && !closes
+                }
                 Behavior::Overloaded => write(b"-BUSY\r\n"),
                 Behavior::Fail => write(b"-ERR failed\r\n"),
                 Behavior::InvalidReply => write(b"?what\r\n"),
--- a/crates/gateway/src/protocol/resp.rs
+++ b/crates/gateway/src/protocol/resp.rs
@@ -12,8 +12,12 @@
 const MAX_DEPTH: usize = 4;
 /// The longest line, in bytes: an error with a load report has about two hundred.
 const MAX_LINE_BYTES: usize = 1024;
+/// The longest report, in bytes: units and load report, which follow the value of a reply.
+pub const MAX_REPORT_BYTES: usize = 2 * MAX_LINE_BYTES;
 /// The longest message, in bytes: one value, and lines for the other items.
 pub const MAX_MESSAGE_BYTES: usize = MAX_BULK_BYTES + MAX_ITEMS * MAX_LINE_BYTES;
+/// What ends a line and a bulk string.
+pub const LINE_END: &[u8] = b"\r\n";
 
 /// A parsed reply.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,19 +62,30 @@
     item(bytes, 0, 0)
 }
 
-/// The first item of an array, which must be a bulk string; `None` until the item is complete.
-pub fn first_bulk(bytes: &[u8]) -> Scanned<&[u8]> {
+/// The value at the front of a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeadingValue<'a> {
+    pub value: &'a [u8],
+    /// The number of items that the array announces behind the value.
+    pub following_items: usize,
+}
+
+/// Parses the head of an array and its first item, which must be a bulk string. The length ends behind that item.
+pub fn leading_value(bytes: &[u8]) -> Scanned<LeadingValue<'_>> {
     if !matches!(bytes, [b'*', ..]) {
         return Err("no array");
     }
-    let Some((Some(1..), offset)) = length(bytes, 0)? else { return Ok(None) };
+    let Some((items, offset)) = length(bytes, 0)? else { return Ok(None) };
+    let Some(items @ 1..=MAX_ITEMS) = items else { return Err("no reply has so many items") };
     match bytes.get(offset) {
         // Only the head of the array has been received.
         None => return Ok(None),
         Some(b'$') => {}
         Some(_) => return Err("no bulk string at the front of an array"),
     }
-    Ok(bulk(bytes, offset)?.and_then(|(value, end)| Some((value?, end))))
+    let Some((value, end)) = bulk(bytes, offset)? else { return Ok(None) };
+    let value = value.ok_or("a null at the front of an array")?;
+    Ok(Some((LeadingValue { value, following_items: items - 1 }, end)))
 }
 
 /// The head of an array whose first item is a bulk string too long to be buffered.
@@ -100,15 +115,20 @@
     }
 }
 
-/// Parses `count` consecutive items.
-pub fn items(bytes: &[u8], count: usize) -> Scanned<Vec<Reply<'_>>> {
-    let (mut items, mut offset) = (Vec::with_capacity(count.min(MAX_ITEMS)), 0);
+/// Parses `count` consecutive bulk strings or nulls.
+pub fn bulks(bytes: &[u8], count: usize) -> Scanned<Vec<Option<&[u8]>>> {
+    let (mut bulks, mut offset) = (Vec::new(), 0);
     for _ in 0..count {
-        let Some((parsed, end)) = item(bytes, offset, 1)? else { return Ok(None) };
-        items.push(parsed);
+        match bytes.get(offset) {
+            None => return Ok(None),
+            Some(b'$') => {}
+            Some(_) => return Err("an item is no bulk string"),
+        }
+        let Some((parsed, end)) = bulk(bytes, offset)? else { return Ok(None) };
+        bulks.push(parsed);
         offset = end;
     }
-    Ok(Some((items, offset)))
+    Ok(Some((bulks, offset)))
 }
 
 /// Parses the item at an offset; `depth` is the number of arrays around it.
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{SendError, Sender};
 use fernscale_policy::{Id, LoadReport, Micros};
 use slog::info;
 
@@ -15,7 +15,7 @@
 use super::Upstream;
 use crate::outcome::AttemptFailure;
 use crate::protocol::call::Call;
-use crate::protocol::reply::{self, ReceivedReply, ServerReply};
+use crate::protocol::reply::{self, ReceivedReply, ServerReply, ValueEnd};
 use crate::protocol::resp::{self, LongValueHead, Reply};
 use crate::protocol::Scanned;
 use crate::shared::{Event, Piece, ResponseStream};
@@ -27,6 +27,9 @@
 /// part of it, so no other server could serve the request.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long the line end of a forwarded value is held back for what confirms the value's length.
+const LENGTH_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A reply, and the connection that it was received on.
 pub(super) struct CompletedExchange<T> {
     pub(super) reply: T,
@@ -99,7 +102,7 @@
     }
 
     /// Writes a command on a connection and reads its reply. `call` is the client's call that the command forwards; none for a
-    /// health check. `scan` parses the received bytes, and is told whether the connection has ended.
+    /// health check. `scan` parses the received bytes, and is told whether no further bytes are waited for.
     async fn exchange<T>(
         &self,
         command: impl FnOnce() -> Vec<u8>,
@@ -217,9 +220,12 @@
         let (sender, pieces) = async_channel::bounded(1);
         let response = ResponseStream { length: head.length, pieces };
         drop(self.events.send(Event::ResponseStarted { request, attempt, response }).await);
-        forward_value(&mut connection, head.length, &sender).await?;
-        drop(sender);
+        let value_end = forward_value(&mut connection, head.length, &sender).await?;
         let following_items = head.items - 1;
+        confirm_length(&mut connection, &value_end, following_items).await?;
+        // The client does not wait for the other items.
+        sender.send(Piece::End).await.map_err(client_gone)?;
+        drop(sender);
         let timeout = self.message_timeout();
         let scan = |bytes: &[u8]| reply::scan_after_value(bytes, following_items, false, self.load_fields());
         match connection.message(scan, Instant::now() + timeout, timeout).await {
@@ -247,13 +253,14 @@
     }
 }
 
-/// Streams a value of `length` bytes to the client's connection task. The line end after the value is checked but not consumed.
+/// Streams a value of `length` bytes to the client's connection task. The line end after the value is not read. Returns the
+/// end of the value.
 async fn forward_value(
     connection: &mut Connection,
     length: usize,
     pieces: &Sender<Piece>,
-) -> Result<(), AttemptFailure> {
-    let client_gone = |_| AttemptFailure::unanswered(ConnectionEnd::Cancelled);
+) -> Result<ValueEnd, AttemptFailure> {
+    let mut value_end = ValueEnd::default();
     let mut remaining = length;
     while remaining > 0 {
         let deadline = Instant::now() + STREAM_STALL_TIMEOUT;
@@ -261,16 +268,36 @@
             .await
             .map_err(AttemptFailure::unanswered)?;
         remaining -= piece.len();
+        value_end.add(&piece);
         // The client's task takes a piece after it has written the previous one, so a slow client slows the server down.
         pieces.send(Piece::Bytes(piece)).await.map_err(client_gone)?;
     }
-    // The value is complete once its line end has arrived. The client does not wait for the items that follow.
-    let line_end = |bytes: &[u8]| match bytes {
-        [b'\r', b'\n', ..] => Ok(Some(((), 0))),
-        [] | [b'\r'] => Ok(None),
-        _ => Err("a value has no line end after its last byte"),
-    };
+    Ok(value_end)
+}
+
+/// Waits for the bytes that confirm the length of a forwarded value. Without them the client must not get the value's line end, as
+/// it could not tell a value of a wrong length from a whole one.
+async fn confirm_length(
+    connection: &mut Connection,
+    value_end: &ValueEnd,
+    following_items: usize,
+) -> Result<(), AttemptFailure> {
     let deadline = Instant::now() + STREAM_STALL_TIMEOUT;
-    connection.message(line_end, deadline, STREAM_STALL_TIMEOUT).await.map_err(AttemptFailure::unanswered)?;
-    pieces.send(Piece::End).await.map_err(client_gone)
+    let line_end = connection.message(reply::scan_line_end, deadline, STREAM_STALL_TIMEOUT);
+    line_end.await.map_err(AttemptFailure::unanswered)?;
+    let scan =
+        |bytes: &[u8], ended: bool| reply::scan_length_confirmation(bytes, value_end, following_items, ended);
+    let deadline = Instant::now() + LENGTH_CONFIRMATION_TIMEOUT;
+    match connection.message(|bytes| scan(bytes, false), deadline, LENGTH_CONFIRMATION_TIMEOUT).await {
+        Ok(()) => Ok(()),
+        Err(how) => match scan(connection.buffer.filled(), true) {
+            Ok(Some(_)) => Ok(()),
+            _ => Err(AttemptFailure::unanswered(how)),
+        },
+    }
+}
+
+/// The failure of an attempt whose client has disconnected.
+fn client_gone<T>(_: SendError<T>) -> AttemptFailure {
+    AttemptFailure::unanswered(ConnectionEnd::Cancelled)
 }
--- a/crates/gateway/tests/duplicate_replies.rs
+++ b/crates/gateway/tests/duplicate_replies.rs
@@ -198,6 +198,17 @@
     assert_eq!(ends[2], (Outcome::Ok, "first".into()));
 }
 
+/// Guards against serving a value of a wrong length, whose reply lacks an item, because the reply to the fence follows it.
+#[test]
+fn the_reply_to_a_fence_does_not_complete_a_reply_whose_value_has_a_wrong_length() {
+    const TOO_LONG_BY_5: &str = "*3\r\n$10\r\nthird\r\n$-1\r\n$-1\r\n";
+    // The fence is written together with the third call, as the two values before were equal.
+    let (ends, received) = calls(vec![vec![FIRST], vec![FIRST], vec![OK], vec![TOO_LONG_BY_5], vec![OK]], 3);
+    assert_eq!(ends[2], (Outcome::Error, String::new()));
+    let (call, fence) = ("CALL.GET", "SELECT");
+    assert_eq!(received, commands_on_one_connection(&[call, call, fence, call, fence]));
+}
+
 #[test]
 fn different_values_need_no_fence_and_a_duplicate_does_not_close_the_connection() {
     let (_, received) = calls(vec![vec![FIRST], vec![NEXT], vec![FIRST]], 3);
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! The parsers on every split of their input, on generated input, and on malicious input.
 
 use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
-use fernscale_gateway::protocol::reply::{self, ServerReply};
+use fernscale_gateway::protocol::reply::{self, ServerReply, ValueEnd};
 use fernscale_gateway::protocol::{http, resp, Scanned};
 use fernscale_gateway::transport::buffer::Buffer;
 use fernscale_gateway::transport::ending::ConnectionEnd;
@@ -284,18 +284,28 @@
     for invalid in [&b"+OK\r\n"[..], b"$2\r\nok\r\n", b"*0\r\n", b"*1\r\n$-1\r\n", b"*-1\r\n"] {
         assert!(parse(invalid).is_err());
     }
-    // A complete value is valid whatever follows it, but only once the connection has ended.
+    // Once no further bytes are waited for, a complete value is valid although the items behind it can't be parsed, unless
+    // something else than an item follows it: then the value may be longer than announced.
     let value = ServerReply::Completed { value: b"ok"[..].into(), units: None };
-    for following in
-        ["", "$-1\r\n", "$-1\r\n$20\r\nbusy", "$-1\r\n$3\r\nbusy_reqs=1\r\n", "?what\r\n", "$99999999\r\n"]
-    {
+    for (following, is_valid) in [
+        ("", true),
+        ("$-1\r\n", true),
+        ("$-1\r\n$20\r\nbusy", true),
+        ("$-1\r\n$3\r\nbusy_reqs=1\r\n", true),
+        ("$-1\r\n?what\r\n", true),
+        ("$-1\r\n$99999999\r\n", true),
+        ("?what\r\n", false),
+        ("$99999999\r\n", false),
+    ] {
         let reply = format!("*3\r\n$2\r\nok\r\n{following}");
         assert!(
             !matches!(reply::scan_complete_reply(reply.as_bytes(), false, &names), Ok(Some(_))),
             "{reply}"
         );
-        let at_end = reply::scan_complete_reply(reply.as_bytes(), true, &names);
-        assert_eq!(at_end.expect("valid").expect("complete").0 .0, value);
+        match reply::scan_complete_reply(reply.as_bytes(), true, &names) {
+            Ok(Some(((completed, _), _))) => assert!(is_valid && completed == value, "{reply}"),
+            other => assert!(!is_valid && other.is_err(), "{reply}"),
+        }
     }
     assert!(
         reply::scan_complete_reply(b"*3\r\n*3\r\n", false, &names).is_err(),
@@ -426,3 +436,74 @@
         assert!(matches!(reply::scan_reply(reply, false, &[]), Ok(Some(_))));
     }
 }
+
+/// Guards against taking what a server wrote behind a value for a part of it, or a part of a value for the whole.
+#[test]
+fn no_value_is_parsed_from_a_reply_whose_length_is_wrong() {
+    let values = ["value", "", "two\r\nlines", "three\r\n\r\nlines\r\n", "[1,\r\n 2]", "\r", "\n"];
+    let reports = [
+        ("$-1\r\n$-1\r\n", false),
+        ("$6\r\ncost=2\r\n$-1\r\n", false),
+        ("$-1\r\n$11\r\nbusy_reqs=7\r\n", false),
+        ("$6\r\ncost=2\r\n$11\r\nbusy_reqs=7\r\n", false),
+        ("$6\r\ncost=2\r\n?what\r\n", true),
+        ("$6\r\ncost=2\r\n$90\r\n", true),
+    ];
+    // What a server may write behind its reply: nothing, the reply to a fence, noise, or another reply.
+    let rests =
+        ["", "+OK\r\n", "+OK\r\n+OK\r\n", "noise\r\n", "-BUSY\r\n", "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"];
+    for value in values {
+        for (report, is_malformed) in reports {
+            // A malformed report can't be told from a part of the value if another reply follows.
+            for rest in rests.iter().filter(|rest| !is_malformed || !rest.starts_with('*')) {
+                let reply = format!("{value}\r\n{report}{rest}");
+                assert_no_value_with_wrong_length(&reply, value);
+            }
+        }
+    }
+}
+
+/// `reply` begins with the value; its head is added with each wrong length.
+fn assert_no_value_with_wrong_length(reply: &str, value: &str) {
+    for announced in (0..60).filter(|announced| *announced != value.len()) {
+        let reply = format!("*3\r\n${announced}\r\n{reply}");
+        for ended in [false, true] {
+            let scanned = reply::scan_complete_reply(reply.as_bytes(), ended, &[]);
+            assert!(!matches!(scanned, Ok(Some(_))), "{reply:?}, ended: {ended}");
+        }
+    }
+}
+
+/// The same for a value that is forwarded in pieces, whose line end is written to the client once its length is confirmed.
+#[test]
+fn the_length_of_a_forwarded_value_is_confirmed_by_what_follows() {
+    let confirm = |value: &str, following: &str, ended| {
+        let confirmations = [1, 7, 4_096].map(|size| {
+            let mut value_end = ValueEnd::default();
+            value.as_bytes().chunks(size).for_each(|piece| value_end.add(piece));
+            reply::scan_length_confirmation(following.as_bytes(), &value_end, 2, ended)
+        });
+        assert!(confirmations.iter().all(|confirmation| *confirmation == confirmations[0]), "{value:?}");
+        confirmations[0]
+    };
+    let confirmed = Ok(Some(((), 0)));
+    for ended in [false, true] {
+        assert_eq!(confirm("value", "\r\n$-1\r\n", ended), confirmed);
+        assert_eq!(confirm("two\r\nlines", "\r\n$-1\r\n$-1\r\n", ended), confirmed);
+        for following in ["", "\r", "\r\n$-1\r\n+OK\r\n", "\r\n$-1\r\n", "vv"] {
+            assert_ne!(confirm("value\r\n$-1", following, ended), confirmed, "{following:?}");
+        }
+        assert!(confirm("two", "\r\nlines\r\n$-1\r\n$-1\r\n", ended).is_err());
+    }
+    for beginning in ["\r\n", "\r\n$", "\r\n$-1", "\r\n$3\r\nco"] {
+        assert_eq!(confirm("value", beginning, false), Ok(None));
+        assert_eq!(confirm("value", beginning, true), confirmed);
+    }
+    let long = "v".repeat(70_000);
+    assert_eq!(confirm(&long, "\r\n$-1\r\n", false), confirmed);
+    assert_eq!(confirm(&format!("{long}\r\n$-1"), "\r\n$-1\r\n", false), Ok(None));
+    // A line end far from the end of a value is no sign of a length that is too large.
+    assert_eq!(confirm(&format!("a\r\n{long}"), "\r\n$-1\r\n", false), confirmed);
+    let with_next_reply = format!("{long}\r\n$-1\r\n$-1\r\n*3");
+    assert!(confirm(&with_next_reply, "\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n", false).is_err());
+}
