Lab: servers that garble answers also give values a wrong length

Change: two more ways of a malformed reply, with a length that covers the item behind the value, or both items. The reply is put together in a type of its own, as its parts are needed apart.

--- a/crates/lab/src/live/servers.rs
+++ b/crates/lab/src/live/servers.rs
@@ -253,36 +253,67 @@
             AttemptEnd::Failed => return stream.write(&line("ERR failed")).await,
             AttemptEnd::Ran { .. } => {}
         }
-        let mut bytes = b"*3\r\n".to_vec();
-        wire::bulk(&mut bytes, format!("{}:{}", call.id, self.name).as_bytes());
-        if self.settles {
-            // From half to one and a half of the guess, the same for each transaction wherever it runs.
-            let drawn = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as f64 / (1u64 << 24) as f64;
-            wire::bulk(&mut bytes, format!("cost={:.3}", call.units * (0.5 + drawn)).as_bytes());
-        } else {
-            bytes.extend_from_slice(b"$-1\r\n");
-        }
-        match report {
-            Some(report) => wire::bulk(&mut bytes, report.as_bytes()),
-            None => bytes.extend_from_slice(b"$-1\r\n"),
-        }
-        let told = self.model.borrow_mut().answer();
-        match told {
-            AnswerFault::Intact => stream.write(&bytes).await,
+        let reply = ServedReply {
+            value: format!("{}:{}", call.id, self.name).into_bytes(),
+            units: optional_bulk(self.settles.then(|| {
+                // From half to one and a half of the guess, the same for each transaction wherever it runs.
+                let drawn = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as f64 / (1u64 << 24) as f64;
+                format!("cost={:.3}", call.units * (0.5 + drawn))
+            })),
+            report: optional_bulk(report),
+        };
+        let fault = self.model.borrow_mut().answer();
+        match fault {
+            AnswerFault::Intact => stream.write(&reply.bytes(reply.value.len())).await,
             AnswerFault::Nothing => Ok(()),
-            AnswerFault::Malformed(way) => {
-                let spoilt: &[u8] = match way {
-                    0 => b"?what is this\r\n",
-                    1 => b"*3\r\n$3000000000\r\nand it comes",
-                    2 => b"*3\r\n$-7\r\n",
-                    _ => &bytes[..bytes.len() / 2],
-                };
-                stream.write(spoilt).await
+            AnswerFault::Malformed(way) => stream.write(&reply.malformed(way)).await,
+        }
+    }
+}
+
+/// The reply to a call that ran.
+struct ServedReply {
+    value: Vec<u8>,
+    /// The item with the units that the call took.
+    units: Vec<u8>,
+    /// The item with the load report.
+    report: Vec<u8>,
+}
+
+impl ServedReply {
+    /// The reply, with this length before its value.
+    fn bytes(&self, length: usize) -> Vec<u8> {
+        let head = format!("*3\r\n${length}\r\n");
+        [head.as_bytes(), &self.value, b"\r\n", &self.units, &self.report].concat()
+    }
+
+    /// What is sent instead of the reply, in one of [`MALFORMED_REPLIES`] ways.
+    fn malformed(&self, way: u8) -> Vec<u8> {
+        let length = self.value.len();
+        match way {
+            0 => b"?what is this\r\n".to_vec(),
+            1 => b"*3\r\n$3000000000\r\nand it comes".to_vec(),
+            2 => b"*3\r\n$-7\r\n".to_vec(),
+            // The length covers the item behind the value as well, then both items.
+            3 => self.bytes(length + self.units.len()),
+            4 => self.bytes(length + self.units.len() + self.report.len()),
+            _ => {
+                let mut bytes = self.bytes(length);
+                bytes.truncate(bytes.len() / 2);
+                bytes
             }
         }
     }
 }
 
+/// A bulk string with this text, or a null.
+fn optional_bulk(text: Option<String>) -> Vec<u8> {
+    let Some(text) = text else { return b"$-1\r\n".to_vec() };
+    let mut bytes = Vec::new();
+    wire::bulk(&mut bytes, text.as_bytes());
+    bytes
+}
+
 /// An attempt that is in flight until its answer is written or its connection ends, however that comes about.
 struct InFlight<'w> {
     world: &'w World,
--- a/crates/lab/src/model/server.rs
+++ b/crates/lab/src/model/server.rs
@@ -331,7 +331,7 @@
         if self.rng.gen_bool(self.faults.silent) {
             AnswerFault::Nothing
         } else if self.rng.gen_bool(self.faults.garbles) {
-            AnswerFault::Malformed(self.rng.gen_range(0..4))
+            AnswerFault::Malformed(self.rng.gen_range(0..MALFORMED_REPLIES))
         } else {
             AnswerFault::Intact
         }
@@ -343,10 +343,13 @@
     }
 }
 
+/// The number of ways in which an answer can be malformed.
+pub const MALFORMED_REPLIES: u8 = 6;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
     Intact,
     Nothing,
-    /// In one of several ways.
+    /// In one of [`MALFORMED_REPLIES`] ways.
     Malformed(u8),
 }
