--- a/crates/gateway/src/protocol/resp.rs
+++ b/crates/gateway/src/protocol/resp.rs
@@ -65,6 +65,7 @@
 /// The value at the front of a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeadingValue<'a> {
+    /// The first item of the array.
     pub value: &'a [u8],
     /// The number of items that the array announces behind the value.
     pub following_items: usize,
