Review: a stand-in platform takes another port where one was taken meanwhile

Cause: a free port is looked for before the gateway binds it, and a connection of the machine may take it in between. Change: the start is tried three times, each with a port of its own; nothing else.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -399,6 +399,15 @@
         return path
 
     async def start(self):
+        for _ in range(3):
+            if await self.start_once():
+                return
+            # Another connection of this machine may have taken the port that was free a moment ago.
+            self.port = free_port()
+        raise CannotRun(f"{self.name} ends at its start")
+
+    async def start_once(self):
+        """Starts the process and waits until it is ready; false if it has ended."""
         config = self.write_config()
         environment = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
         environment.update(BALANCER_NAME=self.name, BALANCER_LISTEN=f"{HOST}:{self.port}",
@@ -413,7 +422,7 @@
         deadline = now() + 20
         while now() < deadline:
             if self.process.returncode is not None:
-                raise CannotRun(f"{self.name} ended at its start")
+                return False
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(encode("PING"))
@@ -421,7 +430,7 @@
                 writer.close()
                 if answer == ("+", "PONG"):
                     self.record(f"platform: {self.name} is ready")
-                    return
+                    return True
             except (ConnectionError, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 pass
             await asyncio.sleep(0.05)
