--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -522,27 +522,37 @@
             "known": {"index": 0, "snapshot": True, "endpoints": []}, "settings": gateway_settings}
 
 
+# What `run.sh` turns into the exit codes 1 and 2. A rule is taken for broken by this code alone, never by an error of Python.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
+LONGEST_PLAY = 105
+
+
 def play(case_file, scenario):
-    """Plays a case: `scenario(bed)` gives the list of breaks. Exits with 1, 0 or 2."""
+    """Plays a case: `scenario(bed)` gives the list of breaks. Ends all processes that it started, also when it is told to end."""
     folder = os.path.dirname(os.path.abspath(case_file))
 
     async def main():
         bed = Bed(folder)
-        try:
-            breaks = await asyncio.wait_for(scenario(bed), 115)
+        loop = asyncio.get_running_loop()
+        told = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, told.set)
+        playing, ending = spawn(scenario(bed)), spawn(told.wait())
+        await asyncio.wait({playing, ending}, timeout=LONGEST_PLAY, return_when=asyncio.FIRST_COMPLETED)
+        code = NOT_RUN
+        if not playing.done():
+            bed.record.say(f"the case could not run: {'told to end' if told.is_set() else 'it takes too long'}")
+        elif playing.exception() is not None:
+            bed.record.say(f"the case could not run: {playing.exception()!r}")
+        else:
+            breaks = playing.result()
             for text in breaks:
                 bed.record.say("BREAK " + text)
             bed.record.say(f"{'with' if TROUBLE else 'without'} the disruption: {len(breaks)} breaks of the rule")
-            return 1 if breaks else 0
-        except (CannotRun, OSError, asyncio.TimeoutError) as problem:
-            bed.record.say(f"the case could not run: {problem!r}")
-            return 2
-        finally:
-            await bed.close()
-            others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
-            for task in others:
-                task.cancel()
-            await asyncio.gather(*others, return_exceptions=True)
-            await asyncio.sleep(0.1)
-
-    sys.exit(asyncio.run(main()))
+            code = BROKEN if breaks else HELD
+        await bed.close()
+        sys.stdout.flush()
+        # Tasks that are still open belong to this process alone, and must not hold up its end.
+        os._exit(code)
+
+    asyncio.run(main())
