A gateway that ends completes the replies that still make progress

A client that read slowly lost the rest of values that its server had long given. Cause: the shutdown ended the process at the longest deadline and 0.7 s, whatever was open. That time bounds requests without a final answer; a value that has begun has its answer and no deadline. Change: connections that write replies say whether they wait for the server or the client. After that time the process waits while a reply makes progress: its server owes bytes (10 s without one end that), or its client has taken bytes within 2 s. Writing a reply has 10 s without progress, where it had 10 s as a whole.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod pools;
 mod process;
 mod records;
+mod shutdown;
 mod signals;
 mod upgrade;
 mod wrong_lengths;
--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -46,6 +46,14 @@
         length: usize,
         pause: u64,
     },
+    /// Answers with a value of `length` bytes: its head, then after `head_pause` milliseconds the value in pieces, with `pause`
+    /// milliseconds between them.
+    Paced {
+        length: usize,
+        head_pause: u64,
+        piece: usize,
+        pause: u64,
+    },
     /// Announces a value of `length` bytes but sends only `sent_bytes`. Then closes the connection if at least 1000 bytes were
     /// sent, and keeps it open otherwise.
     Truncated {
@@ -160,6 +168,15 @@
                         write(&half) && write(b"\r\n$6\r\ncost=1\r\n$-1\r\n")
                     }
                 }
+                Behavior::Paced { length, head_pause, piece, pause } => {
+                    write(format!("*3\r\n${length}\r\n").as_bytes())
+                        && (0..length).step_by(piece).all(|start| {
+                            let pause = if start == 0 { head_pause } else { pause };
+                            thread::sleep(Duration::from_millis(pause));
+                            write(&vec![b'v'; piece.min(length - start)])
+                        })
+                        && write(b"\r\n$6\r\ncost=1\r\n$-1\r\n")
+                }
                 Behavior::Truncated { length, sent_bytes } => {
                     write(format!("*3\r\n${length}\r\n").as_bytes());
                     write(&vec![b'v'; sent_bytes]);
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -9,11 +9,13 @@
 mod idle;
 mod listener;
 mod pipeline;
+mod unwritten;
 mod writing;
 
 use std::time::Duration;
 
 pub use self::listener::Listener;
+pub use self::unwritten::UnwrittenReplies;
 
 /// How long new connections and requests are served after the beginning of a shutdown. Load balancers take some tenths of a
 /// second to send them to other gateways.
--- a/crates/gateway/src/downstream/writing.rs
+++ b/crates/gateway/src/downstream/writing.rs
@@ -1,27 +1,28 @@
 //! How a connection task writes replies in the order of the commands.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::future;
 
 use super::connection_task::ConnectionTask;
 use super::pipeline::{MetricLabels, ReadyReply, Response};
+use super::unwritten::ReplyProgress;
 use crate::operator::metrics::ResponseResult;
 use crate::shared::{Piece, ResponseStream};
-use crate::transport::connection::with_deadline;
 use crate::transport::ending::ConnectionEnd;
 
 /// How long writing a reply may be blocked because the client does not read. Danger: the replies of such a client would be kept
 /// in memory forever.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_CLIENT_PAUSE: Duration = Duration::from_secs(10);
 
 impl ConnectionTask {
     /// Writes replies in order until the first command without a reply.
     pub(super) async fn write_replies(&mut self) -> Result<(), ConnectionEnd> {
         while let Some(ReadyReply { response, metric_labels, reservations }) = self.pipeline.pop_ready() {
+            let progress = self.context.shared.unwritten_replies.enter(self.number);
             let written = match response {
-                Response::Complete(bytes) => self.write_bytes(&bytes).await,
-                Response::Streamed(stream) => self.write_stream(stream).await,
+                Response::Complete(bytes) => self.write_bytes(&bytes, &progress).await,
+                Response::Streamed(stream) => self.write_stream(stream, &progress).await,
             };
             if let Some(MetricLabels { class, result }) = metric_labels {
                 let result = if written.is_ok() { result } else { ResponseResult::Failed };
@@ -33,21 +34,28 @@
         Ok(())
     }
 
-    async fn write_bytes(&mut self, bytes: &[u8]) -> Result<(), ConnectionEnd> {
-        let deadline = Instant::now() + WRITE_TIMEOUT;
-        with_deadline(deadline, ConnectionEnd::TimedOut, self.connection.write_unless_closed(bytes)).await
+    async fn write_bytes(&mut self, bytes: &[u8], progress: &ReplyProgress) -> Result<(), ConnectionEnd> {
+        let on_progress = || progress.client_read();
+        self.connection.write_unless_closed(bytes, MAX_CLIENT_PAUSE, on_progress).await
     }
 
     /// Writes a long value piece by piece as its pieces arrive. If they stop before the end, the connection ends, so that the
     /// client notices the truncation.
-    async fn write_stream(&mut self, stream: ResponseStream) -> Result<(), ConnectionEnd> {
-        self.write_bytes(format!("${}\r\n", stream.length).as_bytes()).await?;
+    async fn write_stream(
+        &mut self,
+        stream: ResponseStream,
+        progress: &ReplyProgress,
+    ) -> Result<(), ConnectionEnd> {
+        self.write_bytes(format!("${}\r\n", stream.length).as_bytes(), progress).await?;
         loop {
+            progress.awaits_server();
             let piece = async { stream.pieces.recv().await.map_err(|_| ConnectionEnd::IoError) };
             let disconnected = async { Err(self.connection.closed().await) };
-            match future::or(piece, disconnected).await? {
-                Piece::Bytes(bytes) => self.write_bytes(&bytes).await?,
-                Piece::End => return self.write_bytes(b"\r\n").await,
+            let piece = future::or(piece, disconnected).await?;
+            progress.client_read();
+            match piece {
+                Piece::Bytes(bytes) => self.write_bytes(&bytes, progress).await?,
+                Piece::End => return self.write_bytes(b"\r\n", progress).await,
             }
         }
     }
--- a/crates/gateway/src/program/run.rs
+++ b/crates/gateway/src/program/run.rs
@@ -22,7 +22,7 @@
 use crate::counter::Counter;
 use crate::discovery::{self, DiscoveryActor};
 use crate::dispatcher::Dispatcher;
-use crate::downstream::Listener;
+use crate::downstream::{Listener, UnwrittenReplies};
 use crate::fleet::endpoint_list::EndpointListConfig;
 use crate::fleet::host::HostHandle;
 use crate::fleet::membership::Membership;
@@ -127,6 +127,7 @@
         endpoints_fresh_until: Cell::new(Micros::MAX),
         ready: Cell::new(false),
         listening: Cell::new(false),
+        unwritten_replies: UnwrittenReplies::default(),
         shutting_down_since: Cell::new(None),
         next_protocol_error: Cell::new(Instant::now()),
         next_ticket: Cell::new(0),
--- a/crates/gateway/src/program/shutdown.rs
+++ b/crates/gateway/src/program/shutdown.rs
@@ -1,5 +1,6 @@
 //! The graceful shutdown: hands over leases and servers to other gateways, leaves the membership, and waits for all
-//! requests and client connections to end, up to a maximum time. It never aborts a request itself.
+//! requests and client connections to end, up to a maximum time, and beyond that for the replies that are being written. It never
+//! aborts a request itself.
 
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -17,11 +18,14 @@
 
 /// Time allowed for the last membership exchanges after leaving.
 const MEMBERSHIP_LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a client may pause in reading a reply and still be waited for, once every request has its final answer.
+const MAX_CLIENT_PAUSE: Duration = Duration::from_secs(2);
 /// Interval at which the shutdown checks whether everything has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Shuts down within the longest time that a client waits. Connections that wait to be accepted from `listener` are still
-/// served, unless a successor of this process also accepts from it.
+/// Shuts down within the longest time that a client waits, or later if a reply that began within that time still makes progress:
+/// a value that is being streamed has no deadline. Connections that wait to be accepted from `listener` are still served, unless
+/// a successor of this process also accepts from it.
 pub(super) async fn shut_down(shared: &Shared, stop_accepting: Sender<()>, listener: Rc<Async<TcpListener>>) {
     let started_at = Instant::now();
     let open = shared.limits.open.used();
@@ -47,7 +51,8 @@
         // Danger: any wait between this check of the listener and the end of the process would drop a connection that
         // arrives in between.
         let is_quiet = !has_clients && (shared.has_successor() || !has_pending_connection(&listener));
-        if elapsed >= max_wait || elapsed >= SHUTDOWN_ACCEPT_PERIOD && is_quiet && has_left {
+        let is_overdue = elapsed >= max_wait && !shared.unwritten_replies.are_progressing(MAX_CLIENT_PAUSE);
+        if is_overdue || elapsed >= SHUTDOWN_ACCEPT_PERIOD && is_quiet && has_left {
             let open = shared.limits.open.used();
             shared.metrics.unserved.write(&shared.log);
             info!(shared.log, #"gateway.ended", "gateway has shut down"; "open" => open,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use slog::Logger;
 
 use crate::discovery::{draining, start_times};
+use crate::downstream::UnwrittenReplies;
 use crate::fleet::{leases, membership, outlier_detection, subsetting};
 use crate::operator::metrics;
 use crate::outcome::{AttemptFailure, CounterAnswer};
@@ -58,6 +59,8 @@
     pub ready: Cell<bool>,
     /// Whether the gateway accepts client connections.
     pub listening: Cell<bool>,
+    /// The replies that are being written to clients.
+    pub unwritten_replies: UnwrittenReplies,
     /// When the graceful shutdown began; none before that.
     pub shutting_down_since: Cell<Option<Instant>>,
     /// The earliest time of the next reply to a protocol error. Limits the rate of these replies.
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -16,7 +16,7 @@
 use super::clock::yield_to_arrivals;
 use super::ending::ConnectionEnd;
 use super::limits::Reservation;
-use super::stream::write_all;
+use super::stream::{write_all, write_some};
 use super::syscall::{connect_with_retries, uninterrupted};
 use crate::protocol::reply::ValueFingerprint;
 use crate::protocol::Scanned;
@@ -98,12 +98,29 @@
         wait_for_close(&self.stream, &mut self.buffer).await
     }
 
-    /// Writes all bytes, as [`Connection::write`] does, and stops as soon as the peer closes the connection.
-    pub async fn write_unless_closed(&mut self, bytes: &[u8]) -> Result<(), ConnectionEnd> {
+    /// Writes all bytes, as [`Connection::write`] does, and stops as soon as the peer closes the connection. Calls `on_progress`
+    /// whenever the peer takes bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectionEnd::TimedOut`] if the peer takes nothing for `max_pause`, or the end of the connection.
+    pub async fn write_unless_closed(
+        &mut self,
+        mut bytes: &[u8],
+        max_pause: Duration,
+        on_progress: impl Fn(),
+    ) -> Result<(), ConnectionEnd> {
         self.last_used = Instant::now();
         let Connection { stream, buffer, .. } = self;
-        let write = async { write_all(stream, bytes).await.map_err(|_| ConnectionEnd::IoError) };
-        future::or(write, async { Err(wait_for_close(stream, buffer).await) }).await
+        while !bytes.is_empty() {
+            let write = async { write_some(stream, bytes).await.map_err(|_| ConnectionEnd::IoError) };
+            let closed = async { Err(wait_for_close(stream, buffer).await) };
+            let deadline = Instant::now() + max_pause;
+            let count = with_deadline(deadline, ConnectionEnd::TimedOut, future::or(write, closed)).await?;
+            bytes = &bytes[count..];
+            on_progress();
+        }
+        Ok(())
     }
 
     /// Reads the next chunk of a long value, of `max_length` bytes at most.
--- a/crates/gateway/src/transport/stream.rs
+++ b/crates/gateway/src/transport/stream.rs
@@ -13,14 +13,20 @@
 /// Writes all bytes.
 pub async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
-        match stream.write_with(|mut stream| uninterrupted(|| stream.write(bytes))).await? {
-            0 => return Err(ErrorKind::WriteZero.into()),
-            count => bytes = &bytes[count..],
-        }
+        let count = write_some(stream, bytes).await?;
+        bytes = &bytes[count..];
     }
     Ok(())
 }
 
+/// Writes at least one byte, as many as the stream takes now, and gives their number. `bytes` must not be empty.
+pub async fn write_some(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
+    match stream.write_with(|mut stream| uninterrupted(|| stream.write(bytes))).await? {
+        0 => Err(ErrorKind::WriteZero.into()),
+        count => Ok(count),
+    }
+}
+
 /// Reads `count` bytes. Fails with `UnexpectedEof` if the stream ends earlier.
 pub async fn read_exact(stream: &Async<TcpStream>, count: usize) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -858,7 +858,7 @@
             at
         });
         let end =
-            futures_lite::future::or(async { Some(connection.write_unless_closed(&bytes).await) }, async {
+            futures_lite::future::or(async { Some(connection.write_unless_closed(&bytes, Duration::from_secs(10), || {}).await) }, async {
                 Timer::after(Duration::from_secs(3)).await;
                 None
             });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -27,6 +27,7 @@
         endpoints_fresh_until: Cell::new(u64::MAX),
         ready: Cell::new(true),
         listening: Cell::new(true),
+        unwritten_replies: Default::default(),
         shutting_down_since: Cell::new(None),
         next_protocol_error: Cell::new(Instant::now()),
         next_ticket: Cell::new(0),
