A keyed retry is sent before its key is forgotten, or not at all

Cause: the window of a key was looked at when the server was chosen. Then the attempt dials for as long as the connection time-out allows; the last look before the first byte did not know the window, nor did the writing of the call. Change: the decision module gives an attempt the time by which it must have been sent in full, the end of the window less 20 ms. The gateway bounds the dial, the last look and the writing by it; such an attempt counts as never sent. The hashes of decisions are as they were without the new number, and are recorded anew with it.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod crossings;
 mod duplicates;
 mod end_to_end;
+mod key_windows;
 mod large;
 mod operator;
 mod pools;
--- a/crates/gateway/src/dispatcher/action_queue.rs
+++ b/crates/gateway/src/dispatcher/action_queue.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use fernscale_policy::{Host, Id, Micros, RejectReason};
+use fernscale_policy::{AttemptLimits, Host, Id, Micros, RejectReason};
 use slog::{info, Logger};
 
 use crate::counter::CounterUpdate;
@@ -18,8 +18,8 @@
 
 /// A call that the engine made on its host, to be performed by the dispatcher.
 pub(super) enum Action {
-    /// Forward a request to a server. The attempt may take `limit` microseconds; 0 means until the request's deadline.
-    Forward { request: Id, server: Id, limit: Micros },
+    /// Forward a request to a server. A time limit of 0 means until the request's deadline.
+    Forward { request: Id, server: Id, limits: AttemptLimits },
     /// Cancel an attempt. Attempts are numbered from 0 within their request.
     Cancel { request: Id, attempt: usize },
     /// Reject or fail a request without a reply from a server.
@@ -70,8 +70,8 @@
         self.0.now.get()
     }
 
-    fn forward(&mut self, request: &Id, server: &Id, limit: Micros) {
-        self.push(Action::Forward { request: request.clone(), server: server.clone(), limit });
+    fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits) {
+        self.push(Action::Forward { request: request.clone(), server: server.clone(), limits });
     }
 
     fn cancel(&mut self, request: &Id, attempt: usize) {
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use fernscale_policy::{Host, Id, Micros, RejectReason};
+use fernscale_policy::{AttemptLimits, Host, Id, RejectReason};
 use slog::{debug, warn};
 
 use super::action_queue::Action;
@@ -12,7 +12,7 @@
 use crate::protocol::call::FinalAnswer;
 use crate::shared::{CompletedAttempt, Event};
 use crate::transport::ending::ConnectionEnd;
-use crate::upstream;
+use crate::upstream::{self, AttemptOrder};
 
 impl Dispatcher {
     /// Performs the queued actions and handles their follow-up events, until none of either is left.
@@ -30,7 +30,7 @@
 
     async fn perform(&mut self, action: Action) {
         match action {
-            Action::Forward { request, server, limit } => self.forward(request, server, limit).await,
+            Action::Forward { request, server, limits } => self.forward(request, server, limits).await,
             Action::Cancel { request, attempt } => {
                 if let Some(mailbox) = self.requests.mailbox(&request, attempt) {
                     drop(mailbox.send(upstream::Order::Cancel { request, attempt }).await);
@@ -72,7 +72,7 @@
         }
     }
 
-    async fn forward(&mut self, id: Id, server: Id, limit: Micros) {
+    async fn forward(&mut self, id: Id, server: Id, limits: AttemptLimits) {
         let now = self.shared.clock.now();
         let mailbox = self.servers.mailbox(&server);
         let Some(request) = self.requests.get_mut(&id) else {
@@ -86,13 +86,14 @@
         }
         let attempt = request.begin_attempt(mailbox.clone());
         let time_left = request.deadline.saturating_sub(now);
-        let limit = if limit == 0 { time_left } else { limit.min(time_left) };
+        let limit = if limits.time_limit == 0 { time_left } else { limits.time_limit.min(time_left) };
+        let send_before = limits.send_before.map(|at| self.shared.clock.instant(at));
         debug!(self.shared.log, #"attempt.begun", "attempt begun"; "id" => &*id, "attempt" => attempt,
             "server" => &*server, "limit_us" => limit);
         if let Some(mailbox) = mailbox.filter(|_| time_left > 0) {
             let call = request.call.clone();
-            let order = upstream::Order::Attempt { call, attempt, limit, created_at: Instant::now() };
-            if mailbox.send(order).await.is_ok() {
+            let attempt = AttemptOrder { call, attempt, limit, send_before, created_at: Instant::now() };
+            if mailbox.send(upstream::Order::Attempt(attempt)).await.is_ok() {
                 return;
             }
         }
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -41,7 +41,10 @@
         match (self.how, self.written) {
             (ConnectionEnd::NoDescriptor | ConnectionEnd::Cordoned | ConnectionEnd::StaleEndpoints, _)
             | (
-                ConnectionEnd::OutOfMemory | ConnectionEnd::EndpointChanged | ConnectionEnd::NotNeeded,
+                ConnectionEnd::KeyExpired
+                | ConnectionEnd::OutOfMemory
+                | ConnectionEnd::EndpointChanged
+                | ConnectionEnd::NotNeeded,
                 false,
             ) => Outcome::NeverSent,
             (ConnectionEnd::Cancelled, _) => Outcome::Cancelled,
@@ -60,7 +63,8 @@
                 ConnectionEnd::Refused
                 | ConnectionEnd::ConnectTimeout
                 | ConnectionEnd::EndpointChanged
-                | ConnectionEnd::NotNeeded,
+                | ConnectionEnd::NotNeeded
+                | ConnectionEnd::KeyExpired,
                 true,
             ) => Outcome::NotConnected,
         }
--- a/crates/gateway/src/transport/ending.rs
+++ b/crates/gateway/src/transport/ending.rs
@@ -36,6 +36,8 @@
     NotNeeded,
     /// The endpoint list has expired.
     StaleEndpoints,
+    /// The servers may have forgotten the request's idempotency key before the request was sent in full.
+    KeyExpired,
     /// The connection was idle for too long, or its slot was needed.
     Idle,
     /// This gateway is shutting down.
@@ -73,6 +75,7 @@
             ConnectionEnd::EndpointChanged => "Left",
             ConnectionEnd::NotNeeded => "Unwanted",
             ConnectionEnd::StaleEndpoints => "OldList",
+            ConnectionEnd::KeyExpired => "KeyExpired",
             ConnectionEnd::Idle => "Idle",
             ConnectionEnd::ShuttingDown => "Stopping",
         }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -12,7 +12,7 @@
 
 use super::duplicate::write_fence;
 use super::pool::Checkout;
-use super::Upstream;
+use super::{AttemptOrder, Upstream};
 use crate::outcome::AttemptFailure;
 use crate::protocol::call::Call;
 use crate::protocol::reply::{self, ReceivedReply, ServerReply, ValueEnd};
@@ -30,6 +30,25 @@
 /// How long the line end of a forwarded value is held back for what confirms the value's length.
 const LENGTH_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Until when an exchange may go on.
+#[derive(Clone, Copy)]
+struct SendBounds {
+    /// When the exchange ends without a reply.
+    deadline: Instant,
+    /// When the whole command must have been written, if that is bounded apart from the deadline.
+    send_before: Option<Instant>,
+}
+
+impl SendBounds {
+    /// When the whole command must have been written, and the end of an exchange that misses it: `late` after the deadline.
+    fn send_deadline(self, late: ConnectionEnd) -> (Instant, ConnectionEnd) {
+        match self.send_before {
+            Some(send_before) if send_before < self.deadline => (send_before, ConnectionEnd::KeyExpired),
+            _ => (self.deadline, late),
+        }
+    }
+}
+
 /// A reply, and the connection that it was received on.
 pub(super) struct CompletedExchange<T> {
     pub(super) reply: T,
@@ -50,16 +69,15 @@
     /// Forwards a call, and returns the server's reply once it is complete. A long value has been streamed to the client by then.
     pub(super) async fn forward(
         self: &Rc<Self>,
-        call: &Call,
-        attempt: usize,
-        limit: Micros,
-        created_at: Instant,
+        order: &AttemptOrder,
     ) -> Result<AttemptReply, AttemptFailure> {
-        let deadline = created_at + Duration::from_micros(limit);
+        let (call, deadline) = (&order.call, order.deadline());
+        let bounds = SendBounds { deadline, send_before: order.send_before };
         // The server is told the time that is left after the order has waited and the connection has been established.
-        let command = || call.command(micros(deadline.saturating_duration_since(Instant::now())).min(limit));
+        let time_left = || micros(deadline.saturating_duration_since(Instant::now())).min(order.limit);
+        let command = || call.command(time_left());
         let scan = |bytes: &[u8], ended: bool| reply::scan_reply(bytes, ended, self.load_fields());
-        let received = self.exchange(command, deadline, Some(call), scan).await?;
+        let received = self.exchange(command, bounds, Some(call), scan).await?;
         let CompletedExchange { reply, mut connection, read_delay } =
             self.skip_duplicates(received, deadline, &call.request.id).await?;
         let (reply, load) = match reply {
@@ -70,7 +88,7 @@
             }
             ReceivedReply::LongValue(head) => {
                 connection.last_value = None;
-                self.stream_value(head, connection, call.request.id.clone(), attempt).await?
+                self.stream_value(head, connection, call.request.id.clone(), order.attempt).await?
             }
         };
         Ok(AttemptReply { reply, load, read_delay })
@@ -86,7 +104,7 @@
             None => Ok(None),
         };
         let CompletedExchange { reply, connection, .. } =
-            self.exchange(command, deadline, None, scan).await?;
+            self.exchange(command, SendBounds { deadline, send_before: None }, None, scan).await?;
         self.pool.release(connection);
         Ok(reply)
     }
@@ -106,22 +124,23 @@
     async fn exchange<T>(
         &self,
         command: impl FnOnce() -> Vec<u8>,
-        deadline: Instant,
+        bounds: SendBounds,
         call: Option<&Call>,
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
         let began_at = Instant::now();
-        let checkout = with_deadline(deadline, ConnectionEnd::ConnectTimeout, self.pool.acquire());
+        let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::ConnectTimeout);
+        let checkout = with_deadline(send_deadline, expiry, self.pool.acquire());
         let Checkout { connection, idle_for } = checkout.await.map_err(AttemptFailure::unsent)?;
         let connect_delay = if idle_for.is_none() { connection.read_delay(began_at) } else { Duration::ZERO };
         // There must be no await between this check and the first write.
-        if let Err(how) = self.check_may_begin(&connection, deadline, call) {
-            if how == ConnectionEnd::NotNeeded {
+        if let Err(how) = self.check_may_begin(&connection, bounds, call) {
+            if matches!(how, ConnectionEnd::NotNeeded | ConnectionEnd::KeyExpired) {
                 self.pool.release(connection);
             }
             return Err(AttemptFailure::unsent(how));
         }
-        let end = self.write_and_receive(connection, &command(), deadline, call, scan).await;
+        let end = self.write_and_receive(connection, &command(), bounds, call, scan).await;
         self.pool.adjust_idle_limit(idle_for, &end);
         end.map(|completed| CompletedExchange {
             read_delay: connect_delay + completed.read_delay,
@@ -134,12 +153,13 @@
     fn check_may_begin(
         &self,
         connection: &Connection,
-        deadline: Instant,
+        bounds: SendBounds,
         call: Option<&Call>,
     ) -> Result<(), ConnectionEnd> {
-        // The deadline has passed, for instance because this process was suspended. Nobody waits for a reply.
-        if Instant::now() >= deadline {
-            return Err(ConnectionEnd::NotNeeded);
+        // The time has passed while the connection was established, or because this process was suspended.
+        let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::NotNeeded);
+        if Instant::now() >= send_deadline {
+            return Err(expiry);
         }
         // The client has disconnected. Not beginning an attempt is no cancellation, so it is always allowed.
         if call.is_some_and(|call| call.client_gone.get()) {
@@ -165,12 +185,13 @@
         &self,
         mut connection: Connection,
         command: &[u8],
-        deadline: Instant,
+        bounds: SendBounds,
         call: Option<&Call>,
         scan: impl Fn(&[u8], bool) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
-        let written_at = Instant::now();
-        with_deadline(deadline, ConnectionEnd::TimedOut, connection.write(command))
+        let (written_at, deadline) = (Instant::now(), bounds.deadline);
+        let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::TimedOut);
+        with_deadline(send_deadline, expiry, connection.write(command))
             .await
             .map_err(AttemptFailure::unsent)?;
         if call.is_some() {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -31,14 +31,7 @@
 /// An order of the dispatcher.
 pub enum Order {
     /// Forward a call. The attempt ends with an [`Event::AttemptCompleted`].
-    Attempt {
-        call: Rc<Call>,
-        /// The attempt's number within its request, from 0.
-        attempt: usize,
-        /// How long the attempt may take from `created_at` on, in microseconds.
-        limit: Micros,
-        created_at: Instant,
-    },
+    Attempt(AttemptOrder),
     /// Cancel an attempt. Has no effect if the attempt has ended.
     Cancel { request: Id, attempt: usize },
     /// Send a health check. It ends with an [`Event::HealthCheckCompleted`].
@@ -49,6 +42,27 @@
     ChangeAddress(SocketAddr),
 }
 
+/// An attempt to be made.
+pub struct AttemptOrder {
+    /// The client's call.
+    pub call: Rc<Call>,
+    /// The attempt's number within its request, from 0.
+    pub attempt: usize,
+    /// How long the attempt may take from `created_at` on, in microseconds.
+    pub limit: Micros,
+    /// When the last byte of the call must have been written; `None` if only `limit` bounds it.
+    pub send_before: Option<Instant>,
+    /// When the dispatcher created the attempt.
+    pub created_at: Instant,
+}
+
+impl AttemptOrder {
+    /// When the attempt ends without a reply.
+    fn deadline(&self) -> Instant {
+        self.created_at + Duration::from_micros(self.limit)
+    }
+}
+
 /// A request's id, and the number of the attempt.
 type AttemptKey = (Id, usize);
 
@@ -123,9 +137,7 @@
 
     async fn handle_order(self: &Rc<Self>, order: Order) {
         match order {
-            Order::Attempt { call, attempt, limit, created_at } => {
-                self.start_attempt(call, attempt, limit, created_at);
-            }
+            Order::Attempt(attempt) => self.start_attempt(attempt),
             Order::Cancel { request, attempt } => self.cancel_attempt(request, attempt).await,
             Order::CheckHealth => self.start_health_check(),
             Order::CloseIdle => self.pool.close_idle(),
@@ -133,26 +145,18 @@
         }
     }
 
-    fn start_attempt(self: &Rc<Self>, call: Rc<Call>, attempt: usize, limit: Micros, created_at: Instant) {
-        let key = (call.request.id.clone(), attempt);
+    fn start_attempt(self: &Rc<Self>, order: AttemptOrder) {
+        let key = (order.call.request.id.clone(), order.attempt);
         let upstream = self.clone();
         // The time that the order waited in the mailbox is not attributed to the server.
         let began_at = Instant::now();
-        let task =
-            self.shared.executor.spawn(upstream.run_attempt(call, attempt, limit, created_at, began_at));
+        let task = self.shared.executor.spawn(upstream.run_attempt(order, began_at));
         self.attempts.borrow_mut().insert(key, RunningAttempt { task, began_at });
     }
 
-    async fn run_attempt(
-        self: Rc<Self>,
-        call: Rc<Call>,
-        attempt: usize,
-        limit: Micros,
-        created_at: Instant,
-        began_at: Instant,
-    ) {
-        let served = self.forward(&call, attempt, limit, created_at).await;
-        let request = call.request.id.clone();
+    async fn run_attempt(self: Rc<Self>, order: AttemptOrder, began_at: Instant) {
+        let served = self.forward(&order).await;
+        let (request, attempt) = (order.call.request.id.clone(), order.attempt);
         // Removes the attempt first, so that it can't be cancelled any more and be reported twice.
         if let Some(attempt) = self.attempts.borrow_mut().remove(&(request.clone(), attempt)) {
             attempt.task.detach();
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -14,7 +14,7 @@
 use fernscale_gateway::discovery::draining::DrainingEndpoints;
 use fernscale_gateway::discovery::{self, DiscoveryActor};
 use fernscale_gateway::outcome::{attempt_outcome, counter_call_end};
-use fernscale_gateway::protocol::call::{self, Command};
+use fernscale_gateway::protocol::call::{self, Call, Command};
 use fernscale_gateway::protocol::catalog::{self, EndpointUpdate};
 use fernscale_gateway::protocol::reply::ServerReply;
 use fernscale_gateway::shared::{Event, Shared};
@@ -22,9 +22,13 @@
 use fernscale_gateway::transport::clock::slew;
 use fernscale_gateway::transport::connection::Connection;
 use fernscale_gateway::transport::ending::ConnectionEnd;
-use fernscale_gateway::upstream::{self, Order};
+use fernscale_gateway::upstream::{self, AttemptOrder, Order};
 use fernscale_policy::settings::PlatformSettings;
-use fernscale_policy::Outcome;
+use fernscale_policy::{Micros, Outcome};
+
+fn attempt_order(call: Rc<Call>, attempt: usize, limit: Micros) -> Order {
+    Order::Attempt(AttemptOrder { call, attempt, limit, send_before: None, created_at: Instant::now() })
+}
 
 fn shared() -> Rc<Shared> {
     shared_with(false)
@@ -563,8 +567,7 @@
     let (events, event_mailbox) = async_channel::bounded(4);
     let name: fernscale_policy::Id = "s0".into();
     let orders = upstream::start(&shared, &events, &name, address);
-    let order =
-        Order::Attempt { call: Rc::new(call), attempt: 0, limit: 900_000, created_at: Instant::now() };
+    let order = attempt_order(Rc::new(call), 0, 900_000);
     let outcome = async {
         orders.send(order).await.expect("the actor runs");
         if cordoned {
@@ -618,8 +621,7 @@
     let (events, event_mailbox) = async_channel::bounded(4);
     let orders = upstream::start(&shared, &events, &"s0".into(), address);
     let call = new_call(&shared);
-    let order =
-        Order::Attempt { call: call.clone(), attempt: 0, limit: 8_000_000, created_at: Instant::now() };
+    let order = attempt_order(call.clone(), 0, 8_000_000);
     let outcome = async {
         orders.send(order).await.expect("the actor runs");
         // Lets the actor receive the order, and the attempt begin to connect.
@@ -708,14 +710,9 @@
     let shared = shared();
     let (events, event_mailbox) = async_channel::bounded(8);
     let orders = upstream::start(&shared, &events, &"s0".into(), address);
-    let attempt_order = |number, limit| Order::Attempt {
-        call: new_call(&shared),
-        attempt: number,
-        limit,
-        created_at: Instant::now(),
-    };
+    let order = |number, limit| attempt_order(new_call(&shared), number, limit);
     let results = async {
-        orders.send(attempt_order(0, limit)).await.expect("the actor runs");
+        orders.send(order(0, limit)).await.expect("the actor runs");
         // Waits until the server has received the command.
         while calls.try_recv().is_err() {
             Timer::after(Duration::from_millis(1)).await;
@@ -739,7 +736,7 @@
         // Longer than a connection must be idle before it is reused, so that the second attempt would reuse this connection if
         // the pool had kept it.
         Timer::after(Duration::from_millis(60)).await;
-        orders.send(attempt_order(1, 5_000_000)).await.expect("the actor runs");
+        orders.send(order(1, 5_000_000)).await.expect("the actor runs");
         answer.send("later").expect("the server runs");
         next(event_mailbox.recv().await.expect("the actor runs"));
         Timer::after(Duration::from_millis(60)).await;
@@ -806,8 +803,7 @@
     // The connection is established and the thread stalls until the limit has passed: the write and the timer are due in the same
     // loop iteration.
     for stall_ms in [0, 30, 60] {
-        let order =
-            Order::Attempt { call: new_call(&shared), attempt: 0, limit: 30_000, created_at: Instant::now() };
+        let order = attempt_order(new_call(&shared), 0, 30_000);
         let end = async {
             orders.send(order).await.expect("the actor runs");
             for _ in 0..20 {
@@ -857,11 +853,13 @@
             }
             at
         });
-        let end =
-            futures_lite::future::or(async { Some(connection.write_unless_closed(&bytes, Duration::from_secs(10), || {}).await) }, async {
+        let end = futures_lite::future::or(
+            async { Some(connection.write_unless_closed(&bytes, Duration::from_secs(10), || {}).await) },
+            async {
                 Timer::after(Duration::from_secs(3)).await;
                 None
-            });
+            },
+        );
         let end = async_io::block_on(end);
         let delay = ends.join().expect("the thread ends").elapsed();
         assert!(matches!(end, Some(Err(ConnectionEnd::Closed | ConnectionEnd::IoError))), "{end:?}");
--- a/crates/lab/src/quota_simulation.rs
+++ b/crates/lab/src/quota_simulation.rs
@@ -9,7 +9,8 @@
 use fernscale_policy::Engine;
 use fernscale_policy::RejectReason;
 use fernscale_policy::{
-    self as module, AttemptCompleted, Endpoint, EndpointState, Host, Id, LoadReport, Outcome, Request,
+    self as module, AttemptCompleted, AttemptLimits, Endpoint, EndpointState, Host, Id, LoadReport, Outcome,
+    Request,
 };
 use serde_json::{json, Value};
 
@@ -199,7 +200,7 @@
     fn now(&self) -> Micros {
         self.0.borrow().0
     }
-    fn forward(&mut self, transaction: &Id, server: &Id, _limit: Micros) {
+    fn forward(&mut self, transaction: &Id, server: &Id, _limits: AttemptLimits) {
         self.note(Act::Send(transaction.clone(), server.clone()));
     }
     fn cancel(&mut self, _transaction: &Id, _trip: usize) {}
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -4,7 +4,7 @@
 use crate::admission::AdmissionCheck;
 use crate::deadline::{attempt_expiry, attempt_time_limit, is_too_late_for_attempt};
 use crate::event::{AttemptCompleted, Id, Micros, Outcome};
-use crate::host::Host;
+use crate::host::{AttemptLimits, Host};
 use crate::in_flight::Attempt;
 use crate::latency::service_time;
 use crate::outlier;
@@ -105,6 +105,9 @@
         if let Some(limit) = lossy_limit.filter(|_| self.retry_budget.is_available()) {
             time_limit = time_limit.min(limit);
         }
+        let binding =
+            KeyBinding::from_attempts(&self.settings.classes[class], &in_flight.attempts, &self.servers);
+        let send_before = binding.map(|binding| binding.send_before());
         let is_first = in_flight.attempts.is_empty();
         if is_first {
             self.retry_budget.earn();
@@ -112,7 +115,7 @@
             self.expirations.reschedule(&mut in_flight.expires_at, expires_at, id);
         }
         in_flight.attempts.push(Attempt::start(to.clone(), now));
-        self.host.forward(id, &to, time_limit);
+        self.host.forward(id, &to, AttemptLimits { time_limit, send_before });
         if let Some(tenant) = self.tenants.get_mut(&in_flight.request.tenant) {
             tenant.refill(&self.settings.plans[tenant.plan()], self.process_share, now);
             if is_first {
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -3,14 +3,23 @@
 use crate::event::{Id, Micros};
 use crate::rejection::RejectReason;
 
+/// The time bounds of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// How long the attempt may take. The host cuts it to the client's deadline.
+    pub time_limit: Micros,
+    /// The time by which the whole request must have been sent, however long the host waits for a connection. Later the
+    /// attempt must not reach the server. `None` if only `time_limit` bounds it.
+    pub send_before: Option<Micros>,
+}
+
 /// The actions that the decision module can take on behalf of one gateway. They take effect in the order in
 /// which they are called.
 pub trait Host {
     /// The current time, by the clock that all gateways share.
     fn now(&self) -> Micros;
-    /// Forwards a request to a server. A request's attempts are numbered from 0. The host cuts the time limit
-    /// to the client's deadline.
-    fn forward(&mut self, request: &Id, server: &Id, time_limit: Micros);
+    /// Forwards a request to a server. A request's attempts are numbered from 0.
+    fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits);
     /// Cancels an attempt in flight.
     fn cancel(&mut self, request: &Id, attempt: usize);
     /// Gives the final answer "rejected": the request had no effect and may be sent again, preferably after
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,6 @@
 pub use event::{
     AttemptCompleted, Endpoint, EndpointState, Id, LoadReport, Micros, Outcome, Request, Subset,
 };
-pub use host::Host;
+pub use host::{AttemptLimits, Host};
 pub use rejection::RejectReason;
 pub use settings::{Ceiling, Idempotency, KeyScope, Plan, RequestClass, Settings};
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -1,6 +1,7 @@
 //! Selects a server for an attempt by weighted round robin. Other modules decide whether the request is sent at
 //! all.
 
+use crate::deadline::DEADLINE_MARGIN;
 use crate::endpoints::{EndpointTable, Server};
 use crate::event::{Id, Micros};
 use crate::in_flight::Attempt;
@@ -36,6 +37,11 @@
         Some(KeyBinding { group: scope_group(class, server), expires_at: first.sent_at + retention })
     }
 
+    /// The time by which another attempt must have been sent in full. The margin covers its way to the server.
+    pub fn send_before(&self) -> Micros {
+        self.expires_at.saturating_sub(DEADLINE_MARGIN)
+    }
+
     fn admits(&self, class: &RequestClass, server: &Server, now: Micros) -> bool {
         now < self.expires_at && self.group == scope_group(class, server)
     }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -25,6 +25,8 @@
 pub struct Recording {
     pub now: Micros,
     pub actions: Vec<Action>,
+    /// The limits of the latest attempt.
+    pub last_limits: Option<AttemptLimits>,
     /// The reason of each request that was rejected or failed.
     pub rejections: Vec<(Id, RejectReason)>,
     /// Timers that have not fired yet, except the wakeup, which the fixture fires every ten milliseconds.
@@ -44,8 +46,9 @@
     fn now(&self) -> Micros {
         self.0.borrow().now
     }
-    fn forward(&mut self, request_id: &Id, server: &Id, time_limit: Micros) {
-        self.record(Action::Forward(request_id.clone(), server.clone(), time_limit));
+    fn forward(&mut self, request_id: &Id, server: &Id, limits: AttemptLimits) {
+        self.record(Action::Forward(request_id.clone(), server.clone(), limits.time_limit));
+        self.0.borrow_mut().last_limits = Some(limits);
     }
     fn cancel(&mut self, request_id: &Id, attempt: usize) {
         self.record(Action::Cancel(request_id.clone(), attempt));
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -21,25 +21,25 @@
 
 /// The hashes recorded for seeds 0 to 7, with a shared counter, cancelling and a pushed endpoint list.
 const WITH_COUNTER: [u64; 8] = [
-    2360255862544008223,
-    5413328714400195220,
-    17991478112596503663,
-    11669463410504189365,
-    4056405308000550623,
-    4809796986101399480,
-    5369264010466214791,
-    7530968573971608645,
+    10757367391909149436,
+    11827416275286713007,
+    1987048413007394175,
+    8291236433969784802,
+    5612871579553285573,
+    15007010256289645283,
+    15842902900341902894,
+    7992077807798290109,
 ];
 /// The hashes without a shared counter and without cancelling; the endpoint list is polled.
 const WITHOUT_COUNTER: [u64; 8] = [
-    8179746256111906859,
-    2512050153835298506,
-    12609833258653863025,
-    11934233408728568792,
-    12537492053115446666,
-    16934623990097563252,
-    12959761735341007899,
-    16398342437106463488,
+    17748639512985841523,
+    4861403684671493437,
+    16448417857387233050,
+    18357966046972717915,
+    1263195411783855149,
+    4845222088629574100,
+    15534352071601416481,
+    439360422513995996,
 ];
 
 /// FNV-1a, 64 bits.
@@ -101,8 +101,9 @@
         self.0.borrow().now
     }
 
-    fn forward(&mut self, request: &Id, server: &Id, time_limit: Micros) {
-        self.call(0, &[request, server], &[time_limit]);
+    fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits) {
+        let numbers: Vec<u64> = [limits.time_limit].into_iter().chain(limits.send_before).collect();
+        self.call(0, &[request, server], &numbers);
         let mut host_state = self.0.borrow_mut();
         let now = host_state.now;
         let number = host_state.attempt_counts.entry(request.clone()).or_default();
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -167,6 +167,23 @@
     assert_eq!(forwards(&fixture.take_actions()), [], "{other} would run the request twice");
 }
 
+/// Guards against a retry that waits for its connection until the servers have forgotten its key.
+#[test]
+fn a_keyed_retry_has_to_be_sent_before_its_key_is_forgotten() {
+    let retention = 900 * MS;
+    let idempotency = Idempotency::Keyed { scope: KeyScope::All, retention };
+    let mut fixture = Fixture::new(settings(idempotency, unlimited_plan()), 2);
+    let send_before = |fixture: &Fixture| fixture.host.0.borrow().last_limits.expect("forwarded").send_before;
+    let (request, sent_at) = (fixture.request("c", 60_000 * MS), fixture.now());
+    let first = forwards(&fixture.take_actions())[0].1.clone();
+    assert_eq!(send_before(&fixture), None, "a first attempt is bound to no key");
+    fixture.advance(500 * MS);
+    fixture.complete_attempt(&request, 0, &first, Outcome::Reset, 500 * MS);
+    assert_eq!(forwards(&fixture.take_actions()).len(), 1);
+    let send_before = send_before(&fixture).expect("bounded by the key");
+    assert!(send_before > fixture.now() && send_before <= sent_at + retention, "{send_before}");
+}
+
 #[test]
 fn a_fleet_always_in_slow_start_is_still_used() {
     let mut fixture = Fixture::new(settings(Idempotency::Idempotent, unlimited_plan()), 4);
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -4,7 +4,7 @@
 use std::fmt::{Display, Write};
 use std::rc::Rc;
 
-use fernscale_policy::{Host, Id, Micros, RejectReason};
+use fernscale_policy::{AttemptLimits, Host, Id, Micros, RejectReason};
 
 use crate::base64;
 use crate::names::{action, field};
@@ -50,8 +50,9 @@
         self.queue.borrow().now
     }
 
-    fn forward(&mut self, request: &Id, server: &Id, time_limit: Micros) {
-        let time_limit = milliseconds(time_limit);
+    /// The simulator sends an attempt at the moment of this action, so that it needs no time to send it by.
+    fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits) {
+        let time_limit = milliseconds(limits.time_limit);
         let fields: [(&str, &dyn Display); 3] =
             [(field::REQUEST, request), (field::TIME_LIMIT, &time_limit), (field::SERVER, server)];
         self.write(action::FORWARD, &fields);
