A reply that comes slowly is waited for as long as its bytes come

Short values in two parts, pieces that come one by one and heads in two pieces ended so too. Cause: Connection::message bounded a message from its first byte to its last, for replies by the connection time-out; a long value began to be forwarded only with 4 KiB behind its head; a server that loses many attempts had seven usual response times for all of it. Change: a message has limits for its beginning, for a pause and, where there is one, a deadline. The limit at lossy servers is one on the first byte.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -13,5 +13,6 @@
 mod records;
 mod shutdown;
 mod signals;
+mod slow_replies;
 mod upgrade;
 mod wrong_lengths;
--- a/crates/cli/tests/sockets/process.rs
+++ b/crates/cli/tests/sockets/process.rs
@@ -54,6 +54,10 @@
         piece: usize,
         pause: u64,
     },
+    /// Answers with a value of ten bytes, with a pause in milliseconds in the middle of its length.
+    SplitHead {
+        pause: u64,
+    },
     /// Announces a value of `length` bytes but sends only `sent_bytes`. Then closes the connection if at least 1000 bytes were
     /// sent, and keeps it open otherwise.
     Truncated {
@@ -177,6 +181,12 @@
                         })
                         && write(b"\r\n$6\r\ncost=1\r\n$-1\r\n")
                 }
+                Behavior::SplitHead { pause } => {
+                    write(b"*3\r\n$1") && {
+                        thread::sleep(Duration::from_millis(pause));
+                        write(b"0\r\nvvvvvvvvvv\r\n$-1\r\n$-1\r\n")
+                    }
+                }
                 Behavior::Truncated { length, sent_bytes } => {
                     write(format!("*3\r\n${length}\r\n").as_bytes());
                     write(&vec![b'v'; sent_bytes]);
--- a/crates/gateway/src/discovery/client.rs
+++ b/crates/gateway/src/discovery/client.rs
@@ -14,10 +14,10 @@
 use crate::protocol::http;
 use crate::shared::Shared;
 use crate::transport::buffer::Buffer;
-use crate::transport::connection::{with_deadline, Connection};
+use crate::transport::connection::{with_deadline, Connection, MessageLimits};
 use crate::transport::ending::ConnectionEnd;
 
-/// The maximum time from the first byte of a response to its end.
+/// How long discovery may pause in the middle of a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the client waits for a late response of an agent.
 const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -206,7 +206,8 @@
     deadline: Instant,
 ) -> Result<http::Response, ConnectionEnd> {
     let mut reader = http::Reader::default();
-    match connection.message(|bytes| reader.read(bytes, false), deadline, RESPONSE_TIMEOUT).await {
+    let limits = MessageLimits::new(deadline, RESPONSE_TIMEOUT);
+    match connection.message(|bytes| reader.read(bytes, false), limits).await {
         Err(ConnectionEnd::Closed) => match reader.read(connection.buffer.filled(), true) {
             Ok(Some((response, _))) => Ok(response),
             _ => Err(ConnectionEnd::Closed),
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -1,6 +1,6 @@
 //! Performs the actions that the engine has queued.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fernscale_policy::{AttemptLimits, Host, Id, RejectReason};
 use slog::{debug, warn};
@@ -12,7 +12,7 @@
 use crate::protocol::call::FinalAnswer;
 use crate::shared::{CompletedAttempt, Event};
 use crate::transport::ending::ConnectionEnd;
-use crate::upstream::{self, AttemptOrder};
+use crate::upstream::{self, AttemptBounds, AttemptOrder};
 
 impl Dispatcher {
     /// Performs the queued actions and handles their follow-up events, until none of either is left.
@@ -87,12 +87,19 @@
         let attempt = request.begin_attempt(mailbox.clone());
         let time_left = request.deadline.saturating_sub(now);
         let limit = if limits.time_limit == 0 { time_left } else { limits.time_limit.min(time_left) };
-        let send_before = limits.send_before.map(|at| self.shared.clock.instant(at));
+        let created_at = Instant::now();
+        let after = |limit| created_at + Duration::from_micros(limit);
+        let bounds = AttemptBounds {
+            deadline: after(limit),
+            first_byte_by: limits.first_byte_limit.map(after),
+            stalled_from: limits.stall_limit.map(after),
+            send_before: limits.send_before.map(|at| self.shared.clock.instant(at)),
+        };
         debug!(self.shared.log, #"attempt.begun", "attempt begun"; "id" => &*id, "attempt" => attempt,
             "server" => &*server, "limit_us" => limit);
         if let Some(mailbox) = mailbox.filter(|_| time_left > 0) {
             let call = request.call.clone();
-            let attempt = AttemptOrder { call, attempt, limit, send_before, created_at: Instant::now() };
+            let attempt = AttemptOrder { call, attempt, bounds };
             if mailbox.send(upstream::Order::Attempt(attempt)).await.is_ok() {
                 return;
             }
--- a/crates/gateway/src/protocol/reply.rs
+++ b/crates/gateway/src/protocol/reply.rs
@@ -124,17 +124,30 @@
     LongValue(LongValueHead),
 }
 
+/// What is waited for behind the received bytes of a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReceiveStage {
+    /// The rest of the reply.
+    Open,
+    /// The rest, but the time in which another server could serve the request is over.
+    Expiring,
+    /// Nothing.
+    Ended,
+}
+
 /// As [`scan_complete_reply`], but of a reply whose value is too long to be buffered, the head and some bytes of the value
 /// are enough. The bytes guard against a corrupted length: as soon as a value is being forwarded, the request can't be
-/// retried at another server.
-pub fn scan_reply(bytes: &[u8], ended: bool, names: &[String]) -> Scanned<ReceivedReply> {
+/// retried at another server. When it can't be retried anyway, the head is enough.
+pub fn scan_reply(bytes: &[u8], stage: ReceiveStage, names: &[String]) -> Scanned<ReceivedReply> {
+    let min_value_bytes = if stage == ReceiveStage::Expiring { 0 } else { MIN_LONG_VALUE_BYTES };
     match resp::long_value_head(bytes)? {
-        Some((head, start)) if bytes.len() >= start + MIN_LONG_VALUE_BYTES => {
+        Some((head, start)) if bytes.len() >= start + min_value_bytes => {
             Ok(Some((ReceivedReply::LongValue(head), start)))
         }
         Some(_) => Ok(None),
+        None if stage == ReceiveStage::Expiring => Ok(None),
         None => {
-            let reply = scan_complete_reply(bytes, ended, names)?;
+            let reply = scan_complete_reply(bytes, stage == ReceiveStage::Ended, names)?;
             Ok(reply.map(|(reply, length)| (ReceivedReply::Complete(reply), length)))
         }
     }
--- a/crates/gateway/src/transport/buffer.rs
+++ b/crates/gateway/src/transport/buffer.rs
@@ -18,6 +18,7 @@
     end: usize,
     max_size: usize,
     message_began_at: Instant,
+    last_received_at: Instant,
     /// The bytes that all connections of the same kind share.
     slots: Option<Slots>,
     reservation: Option<Reservation>,
@@ -32,6 +33,7 @@
             end: 0,
             max_size,
             message_began_at: Instant::now(),
+            last_received_at: Instant::now(),
             slots,
             reservation: None,
         }
@@ -57,6 +59,11 @@
         (!self.is_empty()).then_some(self.message_began_at)
     }
 
+    /// When the last bytes were received. `None` if the buffer is empty.
+    pub fn last_received_at(&self) -> Option<Instant> {
+        (!self.is_empty()).then_some(self.last_received_at)
+    }
+
     /// Removes `count` bytes from the front.
     pub fn consume(&mut self, count: usize) {
         self.message_began_at = Instant::now();
@@ -112,8 +119,9 @@
 
     /// Marks the first `count` bytes of the spare space as received.
     pub fn advance(&mut self, count: usize) {
+        self.last_received_at = Instant::now();
         if self.is_empty() {
-            self.message_began_at = Instant::now();
+            self.message_began_at = self.last_received_at;
         }
         self.end += count;
     }
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -31,6 +31,36 @@
 /// How often a connection is checked for its end once its peer has sent [`MAX_READ_AHEAD`] bytes.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a message is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct MessageLimits {
+    /// When its first byte must have been received.
+    pub begin_by: Instant,
+    /// When its last byte must have been received; `None` if only a pause ends the wait.
+    pub deadline: Option<Instant>,
+    /// How long the peer may pause in the middle of it. A slow message goes on as long as its bytes come.
+    pub max_pause: Duration,
+}
+
+impl MessageLimits {
+    /// A wait until `deadline` in which the peer may pause for `max_pause`.
+    pub fn new(deadline: Instant, max_pause: Duration) -> Self {
+        MessageLimits { begin_by: deadline, deadline: Some(deadline), max_pause }
+    }
+
+    /// When the wait ends, and how, if the last bytes of the message were received at `last_received_at`.
+    fn expiry(&self, last_received_at: Option<Instant>) -> (Instant, ConnectionEnd) {
+        let Some(last_received_at) = last_received_at else {
+            return (self.begin_by, ConnectionEnd::TimedOut);
+        };
+        let pause_ends_at = last_received_at + self.max_pause;
+        match self.deadline {
+            Some(deadline) if deadline <= pause_ends_at => (deadline, ConnectionEnd::TimedOut),
+            _ => (pause_ends_at, ConnectionEnd::Stalled),
+        }
+    }
+}
+
 /// A TCP connection to a client, a server or the counter.
 pub struct Connection {
     stream: Async<TcpStream>,
@@ -164,18 +194,16 @@
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
     }
 
-    /// Reads until a complete message has been received, and consumes it. A message must be complete within `message_timeout` of
-    /// its first byte.
+    /// Reads until a complete message has been received, and consumes it. It may be called again after a limit was reached.
     ///
     /// # Errors
     ///
-    /// [`ConnectionEnd::TimedOut`] after the deadline, [`ConnectionEnd::Malformed`] if the message is invalid or exceeds
-    /// `message_timeout`, or the end of the connection.
+    /// [`ConnectionEnd::TimedOut`] after a deadline, [`ConnectionEnd::Stalled`] if the peer pauses for too long in the middle of
+    /// the message, [`ConnectionEnd::Malformed`] if the message is invalid, or the end of the connection.
     pub async fn message<T>(
         &mut self,
         mut scan: impl FnMut(&[u8]) -> Scanned<T>,
-        deadline: Instant,
-        message_timeout: Duration,
+        limits: MessageLimits,
     ) -> Result<T, ConnectionEnd> {
         let mut may_have_more = false;
         loop {
@@ -188,15 +216,12 @@
             if may_have_more && self.read_available()? {
                 continue;
             }
-            let message_deadline = self.buffer.message_began_at().map(|began_at| began_at + message_timeout);
-            let read = match message_deadline.filter(|message_deadline| *message_deadline < deadline) {
-                Some(earlier) => with_deadline(earlier, ConnectionEnd::Malformed, self.read()).await,
-                None => with_deadline(deadline, ConnectionEnd::TimedOut, self.read()).await,
-            };
+            let (expires_at, expiry) = limits.expiry(self.buffer.last_received_at());
+            let read = with_deadline(expires_at, expiry, self.read()).await;
             // A read that filled the buffer, or ran late, may have left bytes in the socket that arrived in time.
             may_have_more = self.buffer.is_full();
             match read {
-                Err(ConnectionEnd::Malformed | ConnectionEnd::TimedOut) if self.read_available()? => {
+                Err(ConnectionEnd::Stalled | ConnectionEnd::TimedOut) if self.read_available()? => {
                     may_have_more = true;
                 }
                 other => other?,
--- a/crates/gateway/src/upstream/duplicate.rs
+++ b/crates/gateway/src/upstream/duplicate.rs
@@ -10,23 +10,26 @@
 //! Duplicates of error lines, and of values that are too long to be buffered whole, are not recognized.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fernscale_policy::Id;
 use slog::{debug, warn};
 
 use super::exchange::CompletedExchange;
-use super::Upstream;
+use super::{AttemptBounds, Upstream};
 use crate::outcome::AttemptFailure;
-use crate::protocol::reply::{self, ReceivedReply, ServerReply, ValueFingerprint};
+use crate::protocol::reply::{self, ReceiveStage, ReceivedReply, ServerReply, ValueFingerprint};
 use crate::protocol::resp::{self, Reply};
 use crate::protocol::Scanned;
-use crate::transport::connection::{with_deadline, Connection};
+use crate::transport::connection::{with_deadline, Connection, MessageLimits};
 use crate::transport::ending::ConnectionEnd;
 
 /// A command without effect. Servers answer it with a simple string, and answer no call with a simple string.
 const FENCE: &[&[u8]] = &[b"SELECT", b"0"];
 
+/// How long an idle connection waits for the reply to its fence.
+const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A message received after a value that may be a duplicate.
 enum NextMessage {
     /// The reply to the fence. All replies to earlier commands have been received.
@@ -51,7 +54,7 @@
     pub(super) async fn skip_duplicates(
         &self,
         received: CompletedExchange<ReceivedReply>,
-        deadline: Instant,
+        bounds: &AttemptBounds,
         request: &Id,
     ) -> Result<CompletedExchange<ReceivedReply>, AttemptFailure> {
         let Some(last_value) = received.connection.last_value else { return Ok(received) };
@@ -62,7 +65,7 @@
             self.last_value_repeated.set(false);
             return Ok(received);
         }
-        let result = self.resolve_duplicate(received, last_value, deadline).await;
+        let result = self.resolve_duplicate(received, last_value, bounds).await;
         let is_equal = result.as_ref().is_ok_and(|completed| is_value(&completed.reply, last_value));
         self.last_value_repeated.set(is_equal);
         if is_equal {
@@ -81,19 +84,19 @@
         &self,
         candidate: CompletedExchange<ReceivedReply>,
         last_value: ValueFingerprint,
-        deadline: Instant,
+        bounds: &AttemptBounds,
     ) -> Result<CompletedExchange<ReceivedReply>, AttemptFailure> {
         let CompletedExchange { reply: equal_value, mut connection, mut read_delay } = candidate;
         if !connection.fence_pending {
-            write_fence(&mut connection, deadline).await;
+            write_fence(&mut connection, bounds.deadline).await;
         }
         loop {
             if connection.desynchronized {
                 return Err(AttemptFailure::unanswered(ConnectionEnd::Malformed));
             }
             connection.acknowledge();
-            let scan = |bytes: &[u8], ended: bool| self.scan_next_message(bytes, ended);
-            let next = self.receive(connection, Instant::now(), deadline, scan).await?;
+            let scan = |bytes: &[u8], stage: ReceiveStage| self.scan_next_message(bytes, stage);
+            let next = self.receive(connection, Instant::now(), bounds, scan).await?;
             connection = next.connection;
             read_delay += next.read_delay;
             match next.reply {
@@ -111,11 +114,11 @@
         }
     }
 
-    fn scan_next_message(&self, bytes: &[u8], ended: bool) -> Scanned<NextMessage> {
+    fn scan_next_message(&self, bytes: &[u8], stage: ReceiveStage) -> Scanned<NextMessage> {
         if let Some(length) = fence_reply(bytes) {
             return Ok(Some((NextMessage::Fence, length)));
         }
-        let reply = reply::scan_reply(bytes, ended, self.load_fields())?;
+        let reply = reply::scan_reply(bytes, stage, self.load_fields())?;
         Ok(reply.map(|(reply, length)| (NextMessage::Reply(reply), length)))
     }
 
@@ -132,14 +135,14 @@
 
     /// Waits for the reply to the fence. Closes the connection if anything else is received.
     async fn release_after_fence(&self, mut connection: Connection) {
-        let timeout = self.message_timeout();
+        let limits = MessageLimits::new(Instant::now() + FENCE_TIMEOUT, FENCE_TIMEOUT);
         let scan = |bytes: &[u8]| match resp::reply(bytes)? {
             Some(_) => {
                 fence_reply(bytes).map(|length| Some(((), length))).ok_or("unexpected reply to the fence")
             }
             None => Ok(None),
         };
-        if connection.message(scan, Instant::now() + timeout, timeout).await.is_ok() {
+        if connection.message(scan, limits).await.is_ok() {
             connection.fence_pending = false;
             self.pool.release(connection);
         }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -1,54 +1,26 @@
 //! One exchange with a server: writes a command on a connection that no other exchange uses, and reads the reply.
 //!
-//! This module also makes the last check whether an attempt may still begin, and streams values that are too long to be buffered
-//! whole. [`duplicate`](super::duplicate) decides whether a reply belongs to the command.
+//! This module also makes the last check whether an attempt may still begin. [`streaming`](super::streaming) forwards values that
+//! are too long to be buffered whole, and [`duplicate`](super::duplicate) decides whether a reply belongs to the command.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::{SendError, Sender};
-use fernscale_policy::{Id, LoadReport, Micros};
+use fernscale_policy::{LoadReport, Micros};
 use slog::info;
 
 use super::duplicate::write_fence;
 use super::pool::Checkout;
-use super::{AttemptOrder, Upstream};
+use super::{AttemptBounds, AttemptOrder, Upstream};
 use crate::outcome::AttemptFailure;
 use crate::protocol::call::Call;
-use crate::protocol::reply::{self, ReceivedReply, ServerReply, ValueEnd};
-use crate::protocol::resp::{self, LongValueHead, Reply};
+use crate::protocol::reply::{self, ReceiveStage, ReceivedReply, ServerReply};
+use crate::protocol::resp::{self, Reply};
 use crate::protocol::Scanned;
-use crate::shared::{Event, Piece, ResponseStream};
 use crate::transport::clock::{boottime, micros};
 use crate::transport::connection::{with_deadline, Connection};
 use crate::transport::ending::ConnectionEnd;
 
-/// How long a server may pause in the middle of a long value. There is no limit on the whole value: its client has received a
-/// part of it, so no other server could serve the request.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// How long the line end of a forwarded value is held back for what confirms the value's length.
-const LENGTH_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Until when an exchange may go on.
-#[derive(Clone, Copy)]
-struct SendBounds {
-    /// When the exchange ends without a reply.
-    deadline: Instant,
-    /// When the whole command must have been written, if that is bounded apart from the deadline.
-    send_before: Option<Instant>,
-}
-
-impl SendBounds {
-    /// When the whole command must have been written, and the end of an exchange that misses it: `late` after the deadline.
-    fn send_deadline(self, late: ConnectionEnd) -> (Instant, ConnectionEnd) {
-        match self.send_before {
-            Some(send_before) if send_before < self.deadline => (send_before, ConnectionEnd::KeyExpired),
-            _ => (self.deadline, late),
-        }
-    }
-}
-
 /// A reply, and the connection that it was received on.
 pub(super) struct CompletedExchange<T> {
     pub(super) reply: T,
@@ -71,15 +43,13 @@
         self: &Rc<Self>,
         order: &AttemptOrder,
     ) -> Result<AttemptReply, AttemptFailure> {
-        let (call, deadline) = (&order.call, order.deadline());
-        let bounds = SendBounds { deadline, send_before: order.send_before };
+        let AttemptOrder { call, attempt, bounds } = order;
         // The server is told the time that is left after the order has waited and the connection has been established.
-        let time_left = || micros(deadline.saturating_duration_since(Instant::now())).min(order.limit);
-        let command = || call.command(time_left());
-        let scan = |bytes: &[u8], ended: bool| reply::scan_reply(bytes, ended, self.load_fields());
+        let command = || call.command(micros(bounds.announced_time()));
+        let scan = |bytes: &[u8], stage: ReceiveStage| reply::scan_reply(bytes, stage, self.load_fields());
         let received = self.exchange(command, bounds, Some(call), scan).await?;
         let CompletedExchange { reply, mut connection, read_delay } =
-            self.skip_duplicates(received, deadline, &call.request.id).await?;
+            self.skip_duplicates(received, bounds, &call.request.id).await?;
         let (reply, load) = match reply {
             ReceivedReply::Complete((reply, load)) => {
                 connection.last_value = reply.fingerprint();
@@ -88,7 +58,7 @@
             }
             ReceivedReply::LongValue(head) => {
                 connection.last_value = None;
-                self.stream_value(head, connection, call.request.id.clone(), order.attempt).await?
+                self.stream_value(head, connection, call.request.id.clone(), *attempt).await?
             }
         };
         Ok(AttemptReply { reply, load, read_delay })
@@ -96,15 +66,14 @@
 
     /// Sends a health check.
     pub(super) async fn check_health(&self) -> Result<LoadReport, AttemptFailure> {
-        let deadline = Instant::now() + self.message_timeout();
+        let bounds = AttemptBounds::until(Instant::now() + self.connect_timeout());
         let command = || resp::write_command(&[b"PING"]);
-        let scan = |bytes: &[u8], _ended: bool| match resp::reply(bytes)? {
+        let scan = |bytes: &[u8], _: ReceiveStage| match resp::reply(bytes)? {
             Some((Reply::Simple(_), length)) => Ok(Some((LoadReport::default(), length))),
             Some(_) => Err("the reply to a health check is not a simple string"),
             None => Ok(None),
         };
-        let CompletedExchange { reply, connection, .. } =
-            self.exchange(command, SendBounds { deadline, send_before: None }, None, scan).await?;
+        let CompletedExchange { reply, connection, .. } = self.exchange(command, &bounds, None, scan).await?;
         self.pool.release(connection);
         Ok(reply)
     }
@@ -113,20 +82,23 @@
         &self.shared.platform.load_fields
     }
 
-    /// How long a message may take from its first byte to its last. Servers write a reply in one piece, so it needs no longer
-    /// than establishing a connection.
-    pub(super) fn message_timeout(&self) -> Duration {
+    fn connect_timeout(&self) -> Duration {
         Duration::from_micros(self.shared.platform.connect_timeout)
     }
 
+    /// How long the rest of a reply is waited for once its value is complete. Servers mostly write a reply in one piece.
+    fn report_timeout(&self) -> Duration {
+        self.connect_timeout()
+    }
+
     /// Writes a command on a connection and reads its reply. `call` is the client's call that the command forwards; none for a
-    /// health check. `scan` parses the received bytes, and is told whether no further bytes are waited for.
+    /// health check. `scan` parses the received bytes, and is told whether more of them are waited for.
     async fn exchange<T>(
         &self,
         command: impl FnOnce() -> Vec<u8>,
-        bounds: SendBounds,
+        bounds: &AttemptBounds,
         call: Option<&Call>,
-        scan: impl Fn(&[u8], bool) -> Scanned<T>,
+        scan: impl Fn(&[u8], ReceiveStage) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
         let began_at = Instant::now();
         let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::ConnectTimeout);
@@ -153,7 +125,7 @@
     fn check_may_begin(
         &self,
         connection: &Connection,
-        bounds: SendBounds,
+        bounds: &AttemptBounds,
         call: Option<&Call>,
     ) -> Result<(), ConnectionEnd> {
         // The time has passed while the connection was established, or because this process was suspended.
@@ -185,11 +157,11 @@
         &self,
         mut connection: Connection,
         command: &[u8],
-        bounds: SendBounds,
+        bounds: &AttemptBounds,
         call: Option<&Call>,
-        scan: impl Fn(&[u8], bool) -> Scanned<T>,
+        scan: impl Fn(&[u8], ReceiveStage) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
-        let (written_at, deadline) = (Instant::now(), bounds.deadline);
+        let written_at = Instant::now();
         let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::TimedOut);
         with_deadline(send_deadline, expiry, connection.write(command))
             .await
@@ -197,128 +169,79 @@
         if call.is_some() {
             self.shared.metrics.attempt_forwarded();
             if self.expects_equal_value(&connection) {
-                write_fence(&mut connection, deadline).await;
+                write_fence(&mut connection, bounds.deadline).await;
             }
         }
-        self.receive(connection, written_at, deadline, scan).await
+        self.receive(connection, written_at, bounds, scan).await
     }
 
-    /// Reads the next reply. `waited_since` is when the wait for it began.
+    /// Reads the next reply. `waited_since` is when the wait for it began. A reply that comes slowly is waited for as long as the
+    /// client waits; a server that pauses in the middle of it is given up by [`AttemptBounds::give_up_at`].
     pub(super) async fn receive<T>(
         &self,
         mut connection: Connection,
         waited_since: Instant,
-        deadline: Instant,
-        scan: impl Fn(&[u8], bool) -> Scanned<T>,
+        bounds: &AttemptBounds,
+        scan: impl Fn(&[u8], ReceiveStage) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
-        let received = connection.message(|bytes| scan(bytes, false), deadline, self.message_timeout()).await;
-        match received {
-            Ok(reply) => {
-                let read_delay = connection.read_delay(waited_since);
-                Ok(CompletedExchange { reply, connection, read_delay })
-            }
-            Err(how) => match scan(connection.buffer.filled(), true) {
-                // Everything that matters was received, but the connection can't be reused.
-                Ok(Some((reply, _))) => {
-                    self.log_incomplete_reply(how);
-                    connection.desynchronized = true;
-                    // The server caused the wait for the missing bytes.
-                    Ok(CompletedExchange { reply, connection, read_delay: Duration::ZERO })
+        let mut deadline = bounds.stream_at();
+        loop {
+            let limits = bounds.message_limits(deadline, self.report_timeout());
+            let received = connection.message(|bytes| scan(bytes, ReceiveStage::Open), limits).await;
+            let how = match received {
+                Ok(reply) => {
+                    let read_delay = connection.read_delay(waited_since);
+                    return Ok(CompletedExchange { reply, connection, read_delay });
                 }
-                _ => Err(AttemptFailure::unanswered(how)),
-            },
-        }
-    }
-
-    /// Streams a long value to the client, and reads the items that follow it.
-    async fn stream_value(
-        self: &Rc<Self>,
-        head: LongValueHead,
-        mut connection: Connection,
-        request: Id,
-        attempt: usize,
-    ) -> Result<(ServerReply, LoadReport), AttemptFailure> {
-        let (sender, pieces) = async_channel::bounded(1);
-        let response = ResponseStream { length: head.length, pieces };
-        drop(self.events.send(Event::ResponseStarted { request, attempt, response }).await);
-        let value_end = forward_value(&mut connection, head.length, &sender).await?;
-        let following_items = head.items - 1;
-        confirm_length(&mut connection, &value_end, following_items).await?;
-        // The client does not wait for the other items.
-        sender.send(Piece::End).await.map_err(client_gone)?;
-        drop(sender);
-        let timeout = self.message_timeout();
-        let scan = |bytes: &[u8]| reply::scan_after_value(bytes, following_items, false, self.load_fields());
-        match connection.message(scan, Instant::now() + timeout, timeout).await {
-            Ok(reply) => {
-                self.release(connection);
-                Ok(reply)
-            }
-            Err(how) => {
-                let received = connection.buffer.filled();
-                match reply::scan_after_value(received, following_items, true, self.load_fields()) {
-                    Ok(Some((reply, _))) => {
-                        self.log_incomplete_reply(how);
-                        Ok(reply)
-                    }
-                    _ => Err(AttemptFailure::unanswered(how)),
+                Err(how) => how,
+            };
+            let is_waiting = matches!(how, ConnectionEnd::TimedOut | ConnectionEnd::Stalled);
+            if is_waiting && Instant::now() >= deadline && deadline < bounds.deadline {
+                deadline = bounds.deadline;
+                if let Ok(Some((reply, length))) = scan(connection.buffer.filled(), ReceiveStage::Expiring) {
+                    connection.buffer.consume(length);
+                    return Ok(CompletedExchange { reply, connection, read_delay: Duration::ZERO });
                 }
+                continue;
+            }
+            // Everything that matters was received, but the connection can't be reused.
+            if let Ok(Some((reply, _))) = scan(connection.buffer.filled(), ReceiveStage::Ended) {
+                self.log_incomplete_reply(how);
+                connection.desynchronized = true;
+                // The server caused the wait for the missing bytes.
+                return Ok(CompletedExchange { reply, connection, read_delay: Duration::ZERO });
+            }
+            if how != ConnectionEnd::Stalled || !wait_for_more(&mut connection, bounds, deadline).await? {
+                return Err(AttemptFailure::unanswered(how));
             }
         }
     }
 
     /// Logs that a value was forwarded although `how` ended the connection, or the wait for the rest of its reply.
-    fn log_incomplete_reply(&self, how: ConnectionEnd) {
+    pub(super) fn log_incomplete_reply(&self, how: ConnectionEnd) {
         info!(self.shared.log, #"reply.incomplete", "value forwarded without the rest of its reply";
             "server" => &*self.server, "end" => how.name());
     }
 }
 
-/// Streams a value of `length` bytes to the client's connection task. The line end after the value is not read. Returns the
-/// end of the value.
-async fn forward_value(
+/// Waits until a server that pauses in the middle of its reply goes on, or until `deadline`. Returns false if the server is to
+/// be given up.
+async fn wait_for_more(
     connection: &mut Connection,
-    length: usize,
-    pieces: &Sender<Piece>,
-) -> Result<ValueEnd, AttemptFailure> {
-    let mut value_end = ValueEnd::default();
-    let mut remaining = length;
-    while remaining > 0 {
-        let deadline = Instant::now() + STREAM_STALL_TIMEOUT;
-        let piece = with_deadline(deadline, ConnectionEnd::Stalled, connection.read_chunk(remaining))
-            .await
-            .map_err(AttemptFailure::unanswered)?;
-        remaining -= piece.len();
-        value_end.add(&piece);
-        // The client's task takes a piece after it has written the previous one, so a slow client slows the server down.
-        pieces.send(Piece::Bytes(piece)).await.map_err(client_gone)?;
+    bounds: &AttemptBounds,
+    deadline: Instant,
+) -> Result<bool, AttemptFailure> {
+    let paused_since = connection.buffer.last_received_at().unwrap_or_else(Instant::now);
+    let give_up_at = bounds.give_up_at(paused_since);
+    let now = Instant::now();
+    if now >= give_up_at || now >= deadline {
+        return Ok(false);
     }
-    Ok(value_end)
-}
-
-/// Waits for the bytes that confirm the length of a forwarded value. Without them the client must not get the value's line end, as
-/// it could not tell a value of a wrong length from a whole one.
-async fn confirm_length(
-    connection: &mut Connection,
-    value_end: &ValueEnd,
-    following_items: usize,
-) -> Result<(), AttemptFailure> {
-    let deadline = Instant::now() + STREAM_STALL_TIMEOUT;
-    let line_end = connection.message(reply::scan_line_end, deadline, STREAM_STALL_TIMEOUT);
-    line_end.await.map_err(AttemptFailure::unanswered)?;
-    let scan =
-        |bytes: &[u8], ended: bool| reply::scan_length_confirmation(bytes, value_end, following_items, ended);
-    let deadline = Instant::now() + LENGTH_CONFIRMATION_TIMEOUT;
-    match connection.message(|bytes| scan(bytes, false), deadline, LENGTH_CONFIRMATION_TIMEOUT).await {
-        Ok(()) => Ok(()),
-        Err(how) => match scan(connection.buffer.filled(), true) {
-            Ok(Some(_)) => Ok(()),
-            _ => Err(AttemptFailure::unanswered(how)),
-        },
+    match with_deadline(give_up_at.min(deadline), ConnectionEnd::Stalled, connection.read()).await {
+        // After a pause the limits are looked at again.
+        Ok(()) | Err(ConnectionEnd::Stalled) => Ok(true),
+        // What was received before this end may still be a reply.
+        Err(ConnectionEnd::Closed | ConnectionEnd::IoError) => Ok(true),
+        Err(end) => Err(AttemptFailure::unanswered(end)),
     }
 }
-
-/// The failure of an attempt whose client has disconnected.
-fn client_gone<T>(_: SendError<T>) -> AttemptFailure {
-    AttemptFailure::unanswered(ConnectionEnd::Cancelled)
-}
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,9 +3,11 @@
 //! An attempt is cancelled by closing its connection, so that no other exchange is affected. The actor performs the orders of the
 //! dispatcher. It never chooses a server and never retries.
 
+mod bounds;
 mod duplicate;
 mod exchange;
 mod pool;
+mod streaming;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,9 +17,10 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use fernscale_policy::{Id, Micros};
+use fernscale_policy::Id;
 use futures_lite::{future, StreamExt};
 
+pub use self::bounds::AttemptBounds;
 use self::pool::ConnectionPool;
 use crate::outcome::AttemptFailure;
 use crate::protocol::call::Call;
@@ -48,19 +51,8 @@
     pub call: Rc<Call>,
     /// The attempt's number within its request, from 0.
     pub attempt: usize,
-    /// How long the attempt may take from `created_at` on, in microseconds.
-    pub limit: Micros,
-    /// When the last byte of the call must have been written; `None` if only `limit` bounds it.
-    pub send_before: Option<Instant>,
-    /// When the dispatcher created the attempt.
-    pub created_at: Instant,
-}
-
-impl AttemptOrder {
-    /// When the attempt ends without a reply.
-    fn deadline(&self) -> Instant {
-        self.created_at + Duration::from_micros(self.limit)
-    }
+    /// Until when the attempt may go on.
+    pub bounds: AttemptBounds,
 }
 
 /// A request's id, and the number of the attempt.
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -22,12 +22,13 @@
 use fernscale_gateway::transport::clock::slew;
 use fernscale_gateway::transport::connection::Connection;
 use fernscale_gateway::transport::ending::ConnectionEnd;
-use fernscale_gateway::upstream::{self, AttemptOrder, Order};
+use fernscale_gateway::upstream::{self, AttemptBounds, AttemptOrder, Order};
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::{Micros, Outcome};
 
 fn attempt_order(call: Rc<Call>, attempt: usize, limit: Micros) -> Order {
-    Order::Attempt(AttemptOrder { call, attempt, limit, send_before: None, created_at: Instant::now() })
+    let bounds = AttemptBounds::until(Instant::now() + Duration::from_micros(limit));
+    Order::Attempt(AttemptOrder { call, attempt, bounds })
 }
 
 fn shared() -> Rc<Shared> {
--- a/crates/gateway/tests/duplicate_replies.rs
+++ b/crates/gateway/tests/duplicate_replies.rs
@@ -15,7 +15,7 @@
 use fernscale_gateway::protocol::reply::ServerReply;
 use fernscale_gateway::protocol::resp;
 use fernscale_gateway::shared::{Event, Shared};
-use fernscale_gateway::upstream::{self, AttemptOrder, Order};
+use fernscale_gateway::upstream::{self, AttemptBounds, AttemptOrder, Order};
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::Outcome;
 
@@ -102,8 +102,8 @@
         for number in 0..count {
             Timer::after(PAUSE).await;
             let call = new_call(&shared, &format!("t{number}"));
-            let (limit, created_at) = (LIMIT.as_micros() as u64, Instant::now());
-            let order = AttemptOrder { call, attempt: 0, limit, send_before: None, created_at };
+            let bounds = AttemptBounds::until(Instant::now() + LIMIT);
+            let order = AttemptOrder { call, attempt: 0, bounds };
             orders.send(Order::Attempt(order)).await.expect("the actor runs");
             ends.push(end_of_call(&ended).await);
         }
--- a/crates/gateway/tests/parsers.rs
+++ b/crates/gateway/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! The parsers on every split of their input, on generated input, and on malicious input.
 
 use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
-use fernscale_gateway::protocol::reply::{self, ServerReply, ValueEnd};
+use fernscale_gateway::protocol::reply::{self, ReceiveStage, ServerReply, ValueEnd};
 use fernscale_gateway::protocol::{http, resp, Scanned};
 use fernscale_gateway::transport::buffer::Buffer;
 use fernscale_gateway::transport::ending::ConnectionEnd;
@@ -425,7 +425,7 @@
     for reply in replies.map(str::as_bytes) {
         let cuts = (0..reply.len()).filter(|cut| *cut < 100 || reply.len() - cut < 100);
         for cut in cuts {
-            let scanned = reply::scan_reply(&reply[..cut], false, &[]);
+            let scanned = reply::scan_reply(&reply[..cut], ReceiveStage::Open, &[]);
             assert!(
                 scanned.is_ok(),
                 "{:?}, cut after {cut}: {:?}",
@@ -433,7 +433,7 @@
                 scanned.err()
             );
         }
-        assert!(matches!(reply::scan_reply(reply, false, &[]), Ok(Some(_))));
+        assert!(matches!(reply::scan_reply(reply, ReceiveStage::Open, &[]), Ok(Some(_))));
     }
 }
 
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -99,15 +99,13 @@
             Some(attempts) => server.slow_start = SlowStartBudget::new(attempts, now),
             None => self.warm_load.count_attempt(),
         }
-        let mut time_limit = attempt_time_limit(in_flight.deadline, now);
-        let lossy_limit =
-            server.failures.time_limit(&self.settings.classes[class], self.latencies.usual(class));
-        if let Some(limit) = lossy_limit.filter(|_| self.retry_budget.is_available()) {
-            time_limit = time_limit.min(limit);
-        }
-        let binding =
-            KeyBinding::from_attempts(&self.settings.classes[class], &in_flight.attempts, &self.servers);
+        let rules = &self.settings.classes[class];
+        let time_limit = attempt_time_limit(in_flight.deadline, now);
+        let first_byte_limit = server.failures.first_byte_limit(rules, self.latencies.usual(class));
+        let first_byte_limit = first_byte_limit.filter(|_| self.retry_budget.is_available());
+        let binding = KeyBinding::from_attempts(rules, &in_flight.attempts, &self.servers);
         let send_before = binding.map(|binding| binding.send_before());
+        let stall_limit = retry::stall_limit(in_flight, rules, self.settings.max_attempts, time_limit, now);
         let is_first = in_flight.attempts.is_empty();
         if is_first {
             self.retry_budget.earn();
@@ -115,7 +113,7 @@
             self.expirations.reschedule(&mut in_flight.expires_at, expires_at, id);
         }
         in_flight.attempts.push(Attempt::start(to.clone(), now));
-        self.host.forward(id, &to, AttemptLimits { time_limit, send_before });
+        self.host.forward(id, &to, AttemptLimits { time_limit, first_byte_limit, stall_limit, send_before });
         if let Some(tenant) = self.tenants.get_mut(&in_flight.request.tenant) {
             tenant.refill(&self.settings.plans[tenant.plan()], self.process_share, now);
             if is_first {
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -8,11 +8,23 @@
 pub struct AttemptLimits {
     /// How long the attempt may take. The host cuts it to the client's deadline.
     pub time_limit: Micros,
+    /// Within what time the server must have begun its reply, if that is less than `time_limit`.
+    pub first_byte_limit: Option<Micros>,
+    /// After what time a server that pauses in the middle of its reply is given up, so that another attempt can still be
+    /// made. `None` if none would be made.
+    pub stall_limit: Option<Micros>,
     /// The time by which the whole request must have been sent, however long the host waits for a connection. Later the
     /// attempt must not reach the server. `None` if only `time_limit` bounds it.
     pub send_before: Option<Micros>,
 }
 
+impl AttemptLimits {
+    /// The time for which the server can count on this gateway's waiting.
+    pub fn announced(&self) -> Micros {
+        self.first_byte_limit.map_or(self.time_limit, |limit| limit.min(self.time_limit))
+    }
+}
+
 /// The actions that the decision module can take on behalf of one gateway. They take effect in the order in
 /// which they are called.
 pub trait Host {
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -54,9 +54,9 @@
         self.share - previous_share
     }
 
-    /// The time limit of an attempt, if its server fails often. Without the limit, a lost answer would hold its
-    /// slot and its client until the deadline.
-    pub fn time_limit(&self, class: &RequestClass, usual_latency: f64) -> Option<Micros> {
+    /// The time within which a reply must begin, if its server fails often. Without the limit, a lost answer would
+    /// hold its slot and its client until the deadline.
+    pub fn first_byte_limit(&self, class: &RequestClass, usual_latency: f64) -> Option<Micros> {
         let is_lossy = self.share > LOSSY_SERVER_SHARE;
         let may_retry = class.idempotency != Idempotency::NonIdempotent;
         (is_lossy && may_retry).then_some((LOSSY_SERVER_TIMEOUT_RATIO * usual_latency) as Micros)
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -13,6 +13,9 @@
 /// Maximum number of retries in the budget.
 const MAX_SAVED_RETRIES: f64 = 10.0;
 
+/// Divisor of the time of an attempt for the part that is kept for another one if the server stalls.
+const STALL_DIVISOR: Micros = 4;
+
 /// Limits the retries of this gateway to a share of its first attempts. Without the limit, the retries of a
 /// fleet in trouble multiply its load.
 pub struct RetryBudget {
@@ -69,6 +72,28 @@
     Ok(())
 }
 
+/// After what time an attempt that is made now is given up if its server pauses in the middle of the reply: when a quarter of
+/// the time in which another attempt can be made is left. `None` if no other attempt may be made.
+pub fn stall_limit(
+    in_flight: &InFlight,
+    class: &RequestClass,
+    max_attempts: u32,
+    time_limit: Micros,
+    now: Micros,
+) -> Option<Micros> {
+    let retry_time = match class.idempotency {
+        Idempotency::Idempotent => time_limit,
+        Idempotency::Keyed { retention, .. } => {
+            let first = in_flight.attempts.iter().find(|attempt| attempt.may_have_run);
+            let elapsed = first.map_or(0, |attempt| now.saturating_sub(attempt.sent_at));
+            time_limit.min(retention.saturating_sub(elapsed))
+        }
+        Idempotency::NonIdempotent => return None,
+    };
+    let is_last = in_flight.attempts.len() + 1 >= max_attempts as usize;
+    (!is_last).then_some(retry_time / STALL_DIVISOR * (STALL_DIVISOR - 1))
+}
+
 /// Whether the client may safely send the request again after this gateway has given up.
 pub fn client_may_retry(in_flight: &InFlight, class: &RequestClass) -> bool {
     match class.idempotency {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -47,7 +47,7 @@
         self.0.borrow().now
     }
     fn forward(&mut self, request_id: &Id, server: &Id, limits: AttemptLimits) {
-        self.record(Action::Forward(request_id.clone(), server.clone(), limits.time_limit));
+        self.record(Action::Forward(request_id.clone(), server.clone(), limits.announced()));
         self.0.borrow_mut().last_limits = Some(limits);
     }
     fn cancel(&mut self, request_id: &Id, attempt: usize) {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -21,25 +21,25 @@
 
 /// The hashes recorded for seeds 0 to 7, with a shared counter, cancelling and a pushed endpoint list.
 const WITH_COUNTER: [u64; 8] = [
-    10757367391909149436,
-    11827416275286713007,
-    1987048413007394175,
-    8291236433969784802,
-    5612871579553285573,
-    15007010256289645283,
-    15842902900341902894,
-    7992077807798290109,
+    3491184266308482944,
+    2256711473989657311,
+    3460405172058890247,
+    8890381137887804262,
+    12929758940403434227,
+    12994117357021506972,
+    14079948539893005956,
+    14011930566818046941,
 ];
 /// The hashes without a shared counter and without cancelling; the endpoint list is polled.
 const WITHOUT_COUNTER: [u64; 8] = [
-    17748639512985841523,
-    4861403684671493437,
-    16448417857387233050,
-    18357966046972717915,
-    1263195411783855149,
-    4845222088629574100,
-    15534352071601416481,
-    439360422513995996,
+    11390758699093945299,
+    13279589600802987343,
+    8027162633076704037,
+    13581383653679773253,
+    17383056000715813602,
+    15194374458280594833,
+    6794245906363656578,
+    693636765269506878,
 ];
 
 /// FNV-1a, 64 bits.
@@ -102,7 +102,8 @@
     }
 
     fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits) {
-        let numbers: Vec<u64> = [limits.time_limit].into_iter().chain(limits.send_before).collect();
+        let numbers: Vec<u64> =
+            [limits.announced()].into_iter().chain(limits.send_before).chain(limits.stall_limit).collect();
         self.call(0, &[request, server], &numbers);
         let mut host_state = self.0.borrow_mut();
         let now = host_state.now;
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -52,7 +52,7 @@
 
     /// The simulator sends an attempt at the moment of this action, so that it needs no time to send it by.
     fn forward(&mut self, request: &Id, server: &Id, limits: AttemptLimits) {
-        let time_limit = milliseconds(limits.time_limit);
+        let time_limit = milliseconds(limits.announced());
         let fields: [(&str, &dyn Display); 3] =
             [(field::REQUEST, request), (field::TIME_LIMIT, &time_limit), (field::SERVER, server)];
         self.write(action::FORWARD, &fields);
