A list that discovery writes slowly is taken in

Cause: the same limit on a whole message as for replies: a response had a second from its first byte to its last, and where lists are pushed 0.25 s from the request on. The next request got a response that came as slowly. Change: a response that has begun is ended by a pause of a second alone; until it begins the request's own limit holds.

--- a/crates/gateway/src/discovery/client.rs
+++ b/crates/gateway/src/discovery/client.rs
@@ -17,8 +17,9 @@
 use crate::transport::connection::{with_deadline, Connection, MessageLimits};
 use crate::transport::ending::ConnectionEnd;
 
-/// How long discovery may pause in the middle of a response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long discovery may pause in the middle of a response. A response that has begun has no other limit: the next request would
+/// get one that comes as slowly.
+const MAX_RESPONSE_PAUSE: Duration = Duration::from_secs(1);
 /// How long the client waits for a late response of an agent.
 const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -200,13 +201,13 @@
     }
 }
 
-/// Reads a response. If the connection is closed, a response that ends with the connection is complete.
+/// Reads a response that begins by the deadline. If the connection is closed, a response that ends with the connection is complete.
 async fn read_response(
     connection: &mut Connection,
     deadline: Instant,
 ) -> Result<http::Response, ConnectionEnd> {
     let mut reader = http::Reader::default();
-    let limits = MessageLimits::new(deadline, RESPONSE_TIMEOUT);
+    let limits = MessageLimits { begin_by: deadline, deadline: None, max_pause: MAX_RESPONSE_PAUSE };
     match connection.message(|bytes| reader.read(bytes, false), limits).await {
         Err(ConnectionEnd::Closed) => match reader.read(connection.buffer.filled(), true) {
             Ok(Some((response, _))) => Ok(response),
