A command that its client writes slowly is read as long as its bytes come

Seen: a client that wrote a command of 60 KB over 4 s, without a pause of more than 0.2 s, lost its connection in the middle. Cause: the limit on a whole message again: 2.6 s from the first byte of a command to its last, meant for clients that stop half way. Change: 2.6 s is the limit on a pause; a command as a whole has that and a second for each 4 KiB received, so that a client that sends a byte now and then keeps no slot. Result: slow_commands::a_long_command_that_is_written_slowly_is_served, before a broken pipe, now served; clients that stop or hardly go on get their error within 3 s, before and after.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -13,6 +13,7 @@
 mod records;
 mod shutdown;
 mod signals;
+mod slow_commands;
 mod slow_lists;
 mod slow_replies;
 mod upgrade;
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -17,9 +17,12 @@
 use crate::transport::connection::{with_deadline, Connection};
 use crate::transport::ending::ConnectionEnd;
 
-/// Maximum time until a command is complete, counted from its first byte. It is counted from accepting the connection as long as
-/// nothing has arrived on the connection. Danger: clients that send nothing, or half a command, would keep the slots from others.
+/// How long a client may pause in the middle of a command, or before its first command. Danger: clients that send nothing, or half
+/// a command, would keep the slots from others.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// How many bytes of a command a client must send each second beyond [`COMMAND_TIMEOUT`]. Danger: clients that send a byte now and
+/// then would keep the slots, too.
+const MIN_COMMAND_BYTES_PER_SECOND: u32 = 4 * 1024;
 /// Divisor of the clients' slots for the part that idle connections with a single command may occupy while slots are scarce.
 /// Danger: clients that open a connection for each request and never close it. Their front end runs out of connections once all
 /// of them are idle here, and then no client can connect. They can't be distinguished from a connection pool that has used each
@@ -197,10 +200,7 @@
 
     async fn next_input(&mut self) -> Input {
         let is_reading = !self.pipeline.is_full() && !self.is_ending;
-        let has_received = self.pipeline.received() > 0;
-        let begun_at =
-            self.connection.buffer.message_began_at().or((!has_received).then_some(self.accepted_at));
-        let deadline = begun_at.map(|begun_at| begun_at + COMMAND_TIMEOUT);
+        let deadline = self.command_deadline();
         if self.pipeline.is_empty() {
             return self.next_input_while_idle(is_reading, deadline).await;
         }
@@ -213,6 +213,19 @@
         future::or(reply, read(&mut self.connection, is_reading, deadline)).await
     }
 
+    /// When the client has paused for too long or is too slow; `None` between two commands.
+    fn command_deadline(&self) -> Option<Instant> {
+        let buffer = &self.connection.buffer;
+        let Some((began_at, last_received_at)) = buffer.message_began_at().zip(buffer.last_received_at())
+        else {
+            let has_received = self.pipeline.received() > 0;
+            return (!has_received).then_some(self.accepted_at + COMMAND_TIMEOUT);
+        };
+        let received = u32::try_from(buffer.filled().len()).unwrap_or(u32::MAX);
+        let allowed = COMMAND_TIMEOUT + Duration::from_secs(1) * received / MIN_COMMAND_BYTES_PER_SECOND;
+        Some((last_received_at + COMMAND_TIMEOUT).min(began_at + allowed))
+    }
+
     async fn next_input_while_idle(&mut self, is_reading: bool, deadline: Option<Instant>) -> Input {
         let state = IdleState::after_commands(self.pipeline.received());
         let idle_since = Instant::now();
