A request that may have run does not run again under the same id

Seen: a client sends a request that must not run twice, leaves while a server works on it, and sends the same id again: it ran again. The same after its answer, and at the other process of an upgrade. Cause: a request was forgotten when it was answered or its client had left, and no attempt ran; cancelling ends the attempt at once. An id that came after that was new, and each process knew its own alone. Change: the decision module remembers such ids for a minute, 65,536 at most, and answers the second one as failed, never as rejected.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod pools;
 mod process;
 mod records;
+mod repeated_ids;
 mod shutdown;
 mod signals;
 mod slow_commands;
--- a/crates/cli/tests/sockets/upgrade.rs
+++ b/crates/cli/tests/sockets/upgrade.rs
@@ -76,9 +76,13 @@
         .0
     }
 
-    fn shut_down(&mut self) {
+    fn begin_shutdown(&self) {
         let id = self.process.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    fn shut_down(&mut self) {
+        self.begin_shutdown();
         let started_at = Instant::now();
         while self.process.try_wait().expect("waited").is_none() {
             assert!(started_at.elapsed() < TIMEOUT, "the gateway does not end");
@@ -318,3 +322,29 @@
     }
     assert_eq!(second.cordon("cordon", "s0"), 200);
 }
+
+/// Guards against a request that runs twice, as its client leaves the old process and comes again at the new one.
+#[test]
+fn a_request_that_comes_again_at_the_other_process_does_not_run_twice() {
+    let server = Server::start(Behavior::Delayed(800));
+    let (listener, address) = bind_listener();
+    let directory = tempfile::tempdir().expect("a directory");
+    let old = InheritingGateway::start(&listener, directory.path(), &[&server]);
+    let mut client = Client::connect(address);
+    assert_eq!(client.request(&ping()), "+PONG");
+    let _new = InheritingGateway::start(&listener, directory.path(), &[&server]);
+    let order = request_command("order", "pay", 1_400);
+    client.write(&order);
+    let started_at = Instant::now();
+    while server.calls() == 0 {
+        assert!(started_at.elapsed() < TIMEOUT, "the old process does not forward the order");
+        sleep_ms(1);
+    }
+    // From now on the new process alone accepts connections.
+    old.begin_shutdown();
+    sleep_ms(100);
+    drop(client);
+    let answer = Client::connect(address).request(&order);
+    assert_eq!(server.calls(), 1, "it ran again at the new process, and was answered {answer}");
+    assert!(answer.starts_with("-ERR"), "{answer}");
+}
--- a/crates/gateway/src/dispatcher/events.rs
+++ b/crates/gateway/src/dispatcher/events.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use fernscale_policy::{AttemptCompleted, Host, Id, LoadReport, Micros};
+use fernscale_policy::{AttemptCompleted, Host, Id, LoadReport, Micros, Request};
 use slog::debug;
 
 use super::action_queue::Action;
@@ -71,9 +71,19 @@
         debug!(self.shared.log, #"request.accepted", "request accepted"; "id" => &*request.id,
             "tenant" => &*request.tenant, "class" => request.class, "left_us" => request.time_left);
         self.requests.insert(request.id.clone(), RequestInFlight::new(call, reply, deadline));
+        self.exchange_seen_requests(&request);
         self.engine.request_received(request);
     }
 
+    /// Tells the other processes of this gateway of a request that must not run twice, and the engine of theirs.
+    fn exchange_seen_requests(&mut self, request: &Request) {
+        let Some(link) = self.shared.hot_restart.get() else { return };
+        let Some(fingerprint) = self.engine.fingerprint_to_share(request) else { return };
+        for request in link.announce_request(fingerprint) {
+            self.engine.request_seen_elsewhere(request);
+        }
+    }
+
     fn client_disconnected(&mut self, id: &Id, ticket: u64) {
         if self.requests.take_reply_with_ticket(id, ticket).is_none() {
             return;
--- a/crates/gateway/src/hot_restart.rs
+++ b/crates/gateway/src/hot_restart/mod.rs
@@ -1,6 +1,8 @@
 //! Hot restart in the gateway: exchanges records with the other processes of this gateway, and applies the resulting changes to
 //! this process. The package `hot-restart` interprets the records and divides the limits.
 
+mod seen_requests;
+
 use std::cell::{Cell, RefCell};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -8,11 +10,12 @@
 
 use async_channel::Sender;
 use async_io::Timer;
-use fernscale_hot_restart::directory::{RecordDirectory, Records};
+use fernscale_hot_restart::directory::{Error, RecordDirectory, Records};
 use fernscale_hot_restart::state::{Change, HotRestart, Micros, ProcessRecord, ProcessShare};
-use fernscale_policy::Id;
+use fernscale_policy::{Id, RequestFingerprint};
 use slog::{debug, info, warn};
 
+use self::seen_requests::SeenRequests;
 use crate::operator::Order;
 use crate::shared::Shared;
 use crate::transport::clock::micros;
@@ -33,6 +36,7 @@
     core: RefCell<HotRestart>,
     /// The record that was last written.
     published: RefCell<Option<ProcessRecord>>,
+    seen_requests: RefCell<SeenRequests>,
     /// The fraction of the limits that was last sent to the dispatcher, 1 at first.
     fraction: Cell<f64>,
 }
@@ -61,7 +65,7 @@
         directory: &Path,
         descriptors: usize,
         orders: Sender<Order>,
-    ) -> Result<Self, fernscale_hot_restart::directory::Error> {
+    ) -> Result<Self, Error> {
         let records = RecordDirectory::open(directory)?;
         let core = RefCell::new(HotRestart::new(records.generation(), descriptors));
         let link = Link {
@@ -70,8 +74,11 @@
             records,
             core,
             published: RefCell::default(),
+            seen_requests: RefCell::default(),
             fraction: Cell::new(1.0),
         };
+        // The log exists before another process can acknowledge this one, and follows it from then on.
+        link.seen_requests.borrow_mut().write(&link.records)?;
         // The record is written before the others are read: of two processes that start at the same time, one sees the other.
         link.publish();
         Ok(link)
@@ -90,6 +97,7 @@
         for error in errors {
             warn!(self.shared.log, #"handover.refused", "can't use the record of another process"; "why" => error.to_string());
         }
+        self.log_unseen(self.seen_requests.borrow_mut().follow(&self.records, &others));
         let held_descriptors = self.shared.limits.used_descriptors();
         let changes = self.core.borrow_mut().update(&others, held_descriptors, now());
         for change in changes {
@@ -132,6 +140,24 @@
         }
     }
 
+    /// Tells the other processes that a request has come that must not run twice, and returns the requests that have come to
+    /// them since the last call. The request is written before theirs are read: of two processes that receive it at the same
+    /// time, at least one knows of the other.
+    pub fn announce_request(&self, request: RequestFingerprint) -> Vec<RequestFingerprint> {
+        let mut seen_requests = self.seen_requests.borrow_mut();
+        let written = seen_requests.add(&self.records, request);
+        let (requests, errors) = seen_requests.take_new(&self.records);
+        self.log_unseen(written.err().into_iter().chain(errors));
+        requests
+    }
+
+    /// Logs that requests of this or another process are not known to the other yet.
+    fn log_unseen(&self, errors: impl IntoIterator<Item = Error>) {
+        for error in errors {
+            warn!(self.shared.log, #"handover.unseen", "requests of one process are not known to another"; "why" => error.to_string());
+        }
+    }
+
     /// Writes this process's record if it has changed. Returns false, and logs the error, if it can't be written.
     fn publish(&self) -> bool {
         let record = self.core.borrow().record();
--- a/crates/hot-restart/src/directory.rs
+++ b/crates/hot-restart/src/directory.rs
@@ -8,10 +8,13 @@
 
 use thiserror::Error;
 
+use crate::request_log::{RequestLogReader, RequestLogWriter};
 use crate::state::{Generation, OtherProcess, ProcessRecord};
 
 /// Name of the subdirectory of the shared directory that holds the records.
 const DIRECTORY: &str = "fernscale";
+/// Extension of the file with a process's log of requests.
+const REQUEST_LOG_EXTENSION: &str = "requests";
 /// Maximum size of a record in bytes: enough for the maximum number of cordons, each with a long server name.
 const MAX_RECORD_BYTES: u64 = 1024 * 1024;
 /// Maximum number of processes whose records are read. Usually two are live, and the records of ended processes are cleared.
@@ -139,9 +142,40 @@
         records
     }
 
+    /// Creates this process's log of requests.
+    ///
+    /// # Errors
+    /// The file can't be created.
+    pub fn create_request_log(&self) -> Result<RequestLogWriter, Error> {
+        let path = self.request_log_path(self.generation);
+        RequestLogWriter::create(&path).map_err(|why| Error::Io { path, why })
+    }
+
+    /// Opens the log of requests of another process; none if it has not created one.
+    ///
+    /// # Errors
+    /// The file can't be opened.
+    pub fn open_request_log(&self, generation: Generation) -> Result<Option<RequestLogReader>, Error> {
+        let path = self.request_log_path(generation);
+        match RequestLogReader::open(&path) {
+            Ok(reader) => Ok(Some(reader)),
+            Err(why) if why.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(why) => Err(Error::Io { path, why }),
+        }
+    }
+
+    /// The error of an operation on a log that is open.
+    pub fn request_log_error(&self, why: io::Error) -> Error {
+        Error::Io { path: self.directory.clone(), why }
+    }
+
+    fn request_log_path(&self, generation: Generation) -> PathBuf {
+        self.directory.join(format!("{generation}.{REQUEST_LOG_EXTENSION}"))
+    }
+
     /// Removes the files of a process that has ended. Call it only after its cordons have been written in this process's record.
     pub fn clear(&self, generation: Generation) {
-        for extension in ["json", "fresh", "lock"] {
+        for extension in ["json", "fresh", REQUEST_LOG_EXTENSION, "lock"] {
             let _ = fs::remove_file(self.directory.join(format!("{generation}.{extension}")));
         }
     }
--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -3,8 +3,10 @@
 //!
 //! [`state`] makes all decisions and does no I/O: its input are the records of the other processes, its output the changes for
 //! this process. [`directory`] keeps the records in a directory that all processes of the gateway share, and decides nothing.
+//! [`request_log`] tells the other processes which requests have been received here and must not run twice.
 
 #![warn(missing_docs)]
 
 pub mod directory;
+pub mod request_log;
 pub mod state;
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -23,7 +23,9 @@
 use crate::latency::ClassLatencies;
 use crate::queue::Queue;
 use crate::quota::{QuotaHistory, TenantState};
-use crate::retry::RetryBudget;
+use crate::recent_requests::{RecentRequests, RequestFingerprint};
+use crate::rejection::RejectReason;
+use crate::retry::{self, RetryBudget};
 use crate::settings::Settings;
 use crate::slow_start::{SlowStartRules, WarmLoad};
 
@@ -54,6 +56,7 @@
     queue: Queue,
     expirations: Expirations,
     retry_budget: RetryBudget,
+    recent_requests: RecentRequests,
 }
 
 impl<H: Host> Engine<H> {
@@ -84,6 +87,7 @@
             queue: Queue::default(),
             expirations: Expirations::new(first_wakeup),
             retry_budget: RetryBudget::full(),
+            recent_requests: RecentRequests::default(),
             host,
             settings,
         }
@@ -93,6 +97,9 @@
     pub fn request_received(&mut self, request: Request) {
         let now = self.host.now();
         let id = request.id.clone();
+        if self.is_repeated(&request, now) {
+            return self.host.fail(&id, RejectReason::RepeatedId);
+        }
         let deadline = now + request.time_left;
         let expires_at = initial_expiry(deadline, now);
         let within_quota = self.meter(&request, now);
@@ -104,6 +111,18 @@
         self.schedule_wakeup(now);
     }
 
+    /// The fingerprint of a request that must not run twice, for the other processes of this gateway; `None` if it may.
+    pub fn fingerprint_to_share(&self, request: &Request) -> Option<RequestFingerprint> {
+        let may_run_again = retry::may_run_again(&self.settings.classes[request.class]);
+        (!may_run_again).then(|| RequestFingerprint::new(&request.id))
+    }
+
+    /// Handles a request that another process of this gateway has received: it may have had an effect there.
+    pub fn request_seen_elsewhere(&mut self, request: RequestFingerprint) {
+        let now = self.host.now();
+        self.recent_requests.insert(request, now);
+    }
+
     /// Handles the start of a response stream: the request has its final answer, from this attempt.
     pub fn response_started(&mut self, request: &Id, attempt: usize) {
         self.complete(request, Some(attempt));
--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -3,12 +3,13 @@
 use super::Engine;
 use crate::admission::AdmissionCheck;
 use crate::deadline::{attempt_expiry, attempt_time_limit, is_too_late_for_attempt};
-use crate::event::{AttemptCompleted, Id, Micros, Outcome};
+use crate::event::{AttemptCompleted, Id, Micros, Outcome, Request};
 use crate::host::{AttemptLimits, Host};
 use crate::in_flight::Attempt;
 use crate::latency::service_time;
 use crate::outlier;
 use crate::queue::{max_wait, QueueRank};
+use crate::recent_requests::RequestFingerprint;
 use crate::rejection::RejectReason;
 use crate::retry;
 use crate::selection::{KeyBinding, Selection};
@@ -209,8 +210,20 @@
         }
     }
 
+    /// Whether a request may have had an effect under this id, and must not have another one.
+    pub(super) fn is_repeated(&mut self, request: &Request, now: Micros) -> bool {
+        let fingerprint = RequestFingerprint::new(&request.id);
+        !retry::may_run_again(&self.settings.classes[request.class])
+            && self.recent_requests.contains(fingerprint, now)
+    }
+
     fn forget(&mut self, id: &Id) {
         let Some(in_flight) = self.in_flight.remove(id) else { return };
+        if in_flight.may_have_run() && !retry::may_run_again(&self.settings.classes[in_flight.request.class])
+        {
+            let fingerprint = RequestFingerprint::new(id);
+            self.recent_requests.insert(fingerprint, self.host.now());
+        }
         let request = in_flight.request;
         if let Some(tenant) = self.tenants.get_mut(&request.tenant) {
             if let Some(within_quota) = in_flight.within_quota.filter(|_| in_flight.attempts.is_empty()) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod outlier;
 mod queue;
 mod quota;
+mod recent_requests;
 mod rejection;
 mod retry;
 mod selection;
@@ -33,5 +34,6 @@
     AttemptCompleted, Endpoint, EndpointState, Id, LoadReport, Micros, Outcome, Request, Subset,
 };
 pub use host::{AttemptLimits, Host};
+pub use recent_requests::RequestFingerprint;
 pub use rejection::RejectReason;
 pub use settings::{Ceiling, Idempotency, KeyScope, Plan, RequestClass, Settings};
--- a/crates/policy/src/rejection.rs
+++ b/crates/policy/src/rejection.rs
@@ -27,6 +27,8 @@
     RetryBudgetExhausted,
     /// An attempt failed, and the request has had the maximum number of attempts.
     AttemptsExhausted,
+    /// A request with this id may have had an effect, and the class allows no second one.
+    RepeatedId,
 }
 
 impl RejectReason {
@@ -43,6 +45,7 @@
             RejectReason::NotIdempotent => "not-repeatable",
             RejectReason::RetryBudgetExhausted => "retry-budget",
             RejectReason::AttemptsExhausted => "attempts-used",
+            RejectReason::RepeatedId => "id-repeated",
         }
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -72,6 +72,12 @@
     Ok(())
 }
 
+/// Whether a request that comes again under the same id, after it may have had an effect, may be forwarded. Servers that drop a
+/// repeat of its key do so for a while and within their scope only, which the second request may miss.
+pub fn may_run_again(class: &RequestClass) -> bool {
+    class.idempotency == Idempotency::Idempotent
+}
+
 /// After what time an attempt that is made now is given up if its server pauses in the middle of the reply: when a quarter of
 /// the time in which another attempt can be made is left. `None` if no other attempt may be made.
 pub fn stall_limit(
--- a/crates/policy/tests/operations.rs
+++ b/crates/policy/tests/operations.rs
@@ -226,3 +226,25 @@
         }
     }
 }
+
+/// Guards against a memory of requests that grows without end, or that forgets one while its client may still repeat it.
+#[test]
+fn a_request_that_may_have_run_is_remembered_for_a_minute_and_within_a_bound() {
+    let mut fixture = Fixture::new(settings(Idempotency::NonIdempotent, unlimited_plan()), 2);
+    let forwards_of_repeat = |fixture: &mut Fixture| {
+        fixture.request_count = 0;
+        fixture.request("c", 1_000 * MS);
+        forwards(&fixture.take_actions()).len()
+    };
+    let first = fixture.request("c", 1_000 * MS);
+    let server = forwards(&fixture.take_actions())[0].1.clone();
+    fixture.complete_attempt(&first, 0, &server, Outcome::Ok, 10 * MS);
+    fixture.advance(59_000 * MS);
+    assert_eq!(forwards_of_repeat(&mut fixture), 0, "the client may still wait");
+    fixture.advance(2_000 * MS);
+    assert_eq!(forwards_of_repeat(&mut fixture), 1, "a minute has passed");
+    fixture.gateway.client_disconnected(&first);
+    fixture.complete_attempt(&first, 0, &server, Outcome::Cancelled, 10 * MS);
+    (0..65_536).for_each(|number| fixture.gateway.request_seen_elsewhere(RequestFingerprint(number)));
+    assert_eq!(forwards_of_repeat(&mut fixture), 1, "the oldest makes room");
+}
