The end of a client is seen behind commands that wait unread

Seen: a client that sent hundreds of commands at once and closed its connection, or its sending side, had them forwarded for up to 1.9 s after that, where 0.1 s is allowed. Cause: the end of a connection stands behind the bytes before it. With 32 commands in flight 64 KiB were read ahead and no more, so the end stayed with the kernels; each reply made room for commands that were handed on without a look at the connection. Change: up to 1 MiB is read ahead beside a full pipeline while the clients' bytes are three quarters free, and the kernel is asked for the client's end before commands that have waited are handed on; where it is asked at intervals, each 40 ms instead of 100.

--- a/crates/cli/tests/sockets/crossings.rs
+++ b/crates/cli/tests/sockets/crossings.rs
@@ -87,6 +87,25 @@
     assert_eq!(received_ids(&server), ["held0", "first", "after"]);
 }
 
+/// Guards against commands that are sent on after their client has left, as its end can't be seen behind what is unread.
+#[test]
+fn nothing_is_sent_for_a_client_that_closed_behind_many_unread_commands() {
+    let server = Server::start(Behavior::Delayed(150));
+    let gateway = Gateway::start(&[&server]);
+    let mut client = gateway.client();
+    // Many times what one connection may have in flight.
+    let commands = (0..3_000).flat_map(|index| request_command(&format!("c{index}"), "read", 9_000));
+    client.write(&commands.collect::<Vec<u8>>());
+    wait_for("the first requests are sent", TIMEOUT, || server.calls() > 0);
+    thread::sleep(Duration::from_millis(400));
+    client.stream.shutdown(Shutdown::Write).expect("shut");
+    // Within this time after a client's end attempts may still begin.
+    thread::sleep(Duration::from_millis(100));
+    let calls = server.calls();
+    thread::sleep(Duration::from_millis(800));
+    assert_eq!(server.calls() - calls, 0, "calls after the client's end");
+}
+
 #[test]
 fn nothing_is_sent_for_a_client_that_disconnected_after_an_invalid_command() {
     for reset in [false, true] {
--- a/crates/gateway/src/downstream/commands.rs
+++ b/crates/gateway/src/downstream/commands.rs
@@ -27,7 +27,8 @@
     pub(super) async fn handle_commands(&mut self) -> Result<(), ConnectionEnd> {
         while !self.pipeline.is_full() && !self.is_ending {
             let scanned = match resp::command(self.connection.buffer.filled()) {
-                Ok(None) => return Ok(()),
+                Ok(None) if self.connection.buffer.filled().len() < resp::MAX_MESSAGE_BYTES => return Ok(()),
+                Ok(None) => Err("the command is too long"),
                 Ok(Some((words, length))) => {
                     Ok((call::command(&words, &self.context.shared.platform), length))
                 }
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -59,6 +59,8 @@
     /// Notifies this connection that it is evicted to free its slot for another connection.
     pub(super) evict: Sender<()>,
     pub(super) evicted: Receiver<()>,
+    /// Whether commands have waited unread, as the pipeline was full, since the client was last known to be there.
+    has_backlog: bool,
     /// Whether no more commands are read, and the connection ends when all received commands are answered.
     pub(super) is_ending: bool,
     pub(super) invalid_commands: u32,
@@ -88,6 +90,7 @@
             replies,
             evict,
             evicted,
+            has_backlog: false,
             is_ending: false,
             invalid_commands: 0,
         }
@@ -127,7 +130,9 @@
 
     /// Handles the commands in the buffer, writes the replies that are ready, and handles the next input.
     async fn serve_next(&mut self) -> Result<(), ConnectionEnd> {
+        self.check_backlog()?;
         self.handle_commands().await?;
+        self.has_backlog |= self.pipeline.is_full();
         // Bytes that are still in the buffer wait for space in the pipeline or for the rest of their command, not for this
         // process.
         self.input_delay = Duration::ZERO;
@@ -152,6 +157,19 @@
         self.handle_input(input).await
     }
 
+    /// Fails if the client has closed the connection behind commands that wait to be read. Danger: reading would show that only
+    /// after they have all been forwarded.
+    fn check_backlog(&mut self) -> Result<(), ConnectionEnd> {
+        if !self.has_backlog {
+            return Ok(());
+        }
+        if self.connection.is_closed_by_peer() {
+            return Err(ConnectionEnd::Closed);
+        }
+        self.has_backlog = !(self.pipeline.is_empty() && self.connection.has_no_input());
+        Ok(())
+    }
+
     /// Fails with the reason to end a connection whose pipeline is empty, if there is one.
     fn check_still_open(&self) -> Result<(), ConnectionEnd> {
         if self.is_ending {
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -12,10 +12,9 @@
 use super::connection_task::{ConnectionTask, Context};
 use super::idle::IdleConnections;
 use super::PROTOCOL_ERROR_INTERVAL;
-use crate::protocol::resp;
 use crate::shared::{Event, Shared};
 use crate::transport::buffer::Buffer;
-use crate::transport::connection::Connection;
+use crate::transport::connection::{Connection, MAX_READ_AHEAD};
 use crate::transport::limits::Reservation;
 use crate::transport::syscall::AcceptFailure;
 
@@ -101,8 +100,7 @@
     async fn accept(&mut self, stream: Async<TcpStream>) {
         let Slot { reservation, is_served } = self.find_slot().await;
         self.accepted += 1;
-        let buffer =
-            Buffer::new(resp::MAX_MESSAGE_BYTES, Some(self.context.shared.limits.from_clients.clone()));
+        let buffer = Buffer::new(MAX_READ_AHEAD, Some(self.context.shared.limits.from_clients.clone()));
         let connection = Connection::new(stream, buffer, Some(reservation));
         let task = ConnectionTask::new(connection, self.context.clone(), self.accepted, is_served);
         self.context.shared.executor.spawn(task.run()).detach();
--- a/crates/gateway/src/transport/buffer.rs
+++ b/crates/gateway/src/transport/buffer.rs
@@ -4,6 +4,7 @@
 
 use super::ending::ConnectionEnd;
 use super::limits::{Reservation, Slots};
+use crate::protocol::resp::MAX_MESSAGE_BYTES;
 
 /// Size in bytes of a new buffer, and of a buffer that has been emptied. Most messages fit.
 const INITIAL_SIZE: usize = 1024;
@@ -11,7 +12,8 @@
 /// Received bytes that are not consumed yet.
 ///
 /// The buffer moves its contents to the front when the end is reached, and doubles its size as needed up to a limit. A size above
-/// the initial one is reserved from the bytes that all connections of the same kind share.
+/// the initial one is reserved from the bytes that all connections of the same kind share. A size above that of one message is for
+/// reading ahead, and leaves a quarter of these bytes to others.
 pub struct Buffer {
     bytes: Vec<u8>,
     start: usize,
@@ -103,6 +105,10 @@
         if size > INITIAL_SIZE && !self.reserve(size) {
             return Err(ConnectionEnd::OutOfMemory);
         }
+        if size > MAX_MESSAGE_BYTES && !self.slots.as_ref().is_none_or(Slots::has_quarter_free) {
+            self.reserve(self.bytes.len());
+            return Err(ConnectionEnd::OutOfMemory);
+        }
         self.bytes.resize(size, 0);
         Ok(())
     }
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -25,11 +25,12 @@
 /// in between. All connections to servers together then use less than a tenth of the smallest memory that can be configured.
 const CHUNK_SIZE: usize = 16 * 1024;
 
-/// Bytes that are read ahead while a reply is awaited. The end of the connection can't be detected behind unread bytes.
-const MAX_READ_AHEAD: usize = 64 * 1024;
+/// Bytes that are read ahead while a reply is awaited, if memory allows it. The end of the connection can't be detected behind
+/// unread bytes that the peer's kernel still holds.
+pub const MAX_READ_AHEAD: usize = 1024 * 1024;
 
 /// How often a connection is checked for its end once its peer has sent [`MAX_READ_AHEAD`] bytes.
-const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// How long a message is waited for.
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +123,12 @@
         read(&self.stream, &mut self.buffer).await
     }
 
+    /// Whether the peer has closed the connection for writing, or reset it, as far as the kernel has been told: bytes that it sent
+    /// before may be unread.
+    pub fn is_closed_by_peer(&self) -> bool {
+        is_closed_by_peer(&self.stream)
+    }
+
     /// Waits until the peer closes the connection. Bytes received meanwhile are buffered up to `MAX_READ_AHEAD`; the rest stays
     /// unread.
     pub async fn closed(&mut self) -> ConnectionEnd {
@@ -316,14 +323,18 @@
                 Err(_) => {}
             }
         }
-        let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
-        if event::poll(&mut polled, Some(&Timespec::default())).is_ok() && !polled[0].revents().is_empty() {
+        if is_closed_by_peer(stream) {
             return ConnectionEnd::Closed;
         }
         Timer::after(CLOSE_POLL_INTERVAL).await;
     }
 }
 
+fn is_closed_by_peer(stream: &Async<TcpStream>) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    event::poll(&mut polled, Some(&Timespec::default())).is_ok() && !polled[0].revents().is_empty()
+}
+
 /// Runs `work` until the deadline, and fails with `end` once the deadline has passed.
 pub async fn with_deadline<T>(
     deadline: Instant,
