The number of tenants that a gateway remembers is bounded by its memory

Seen: while one client sent requests of ever new customers, the gateway's memory passed its limit. Cause: the decision module kept each tenant for 30 s, some 600 bytes, without a bound on their number. Change: a sixth of the memory bounds them. At the bound one that has been idle for a second, and holds what a new tenant would get, makes room, so that nobody gets a quota anew; else the new tenant is rejected with a Retry-After (tenants-full).

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod end_to_end;
 mod key_windows;
 mod large;
+mod memory;
 mod operator;
 mod pools;
 mod process;
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -73,8 +73,10 @@
         discovery: Sender<discovery::Order>,
     ) -> Self {
         let actions = ActionQueue::new(shared.clock.now(), shared.log.clone());
+        let mut engine = Engine::new(settings, actions.clone());
+        engine.set_max_tenants(shared.limits.max_tenants.get());
         Dispatcher {
-            engine: Engine::new(settings, actions.clone()),
+            engine,
             actions,
             counter: CounterCalls::new(shared.clone(), counter),
             discovery,
@@ -192,7 +194,10 @@
                 let _ = done.try_send(is_known);
             }
             operator::Order::CordonFromProcess { server, lifted_at: at } => self.set_cordon(&server, at),
-            operator::Order::ProcessShare(share) => self.engine.set_process_share(share),
+            operator::Order::ProcessShare(share) => {
+                self.engine.set_max_tenants(self.shared.limits.max_tenants.get());
+                self.engine.set_process_share(share);
+            }
         }
     }
 
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -25,12 +25,16 @@
 const PROGRAM_MIB: usize = 8;
 
 /// The remaining memory is divided into equal parts: records of open requests, bytes of open requests, incomplete messages from
-/// clients, incomplete messages from servers, and values that are being forwarded to clients, with the allocator's overhead.
-const MEMORY_PARTS: usize = 5;
+/// clients, incomplete messages from servers, replies that are being written to clients, and tenants, with the allocator's
+/// overhead.
+const MEMORY_PARTS: usize = 6;
 
 /// Maximum size in bytes of the records of an open request, here and in the decision module, without the request's own bytes.
 const REQUEST_RECORD_SIZE: usize = 4 * 1024;
 
+/// Maximum size in bytes of the state of a tenant in the decision module, with the allocator's overhead.
+const TENANT_RECORD_SIZE: usize = 768;
+
 /// Counts reservations against a capacity. A reservation frees its slots when it is dropped. Clones share the same slots.
 #[derive(Clone)]
 pub struct Slots {
@@ -115,6 +119,8 @@
     pub from_clients: Slots,
     /// Bytes of incomplete messages from servers.
     pub from_servers: Slots,
+    /// How many tenants the decision module may remember.
+    pub max_tenants: Rc<Cell<usize>>,
     /// Descriptors for optional features that are configured, in addition to [`OWN_DESCRIPTORS`].
     reserved: usize,
     memory_mb: usize,
@@ -132,6 +138,7 @@
             bytes: Slots::new(0),
             from_clients: Slots::new(0),
             from_servers: Slots::new(0),
+            max_tenants: Rc::default(),
             reserved,
             memory_mb,
         };
@@ -152,6 +159,7 @@
         self.rejected.capacity.set(rejected);
         self.servers.capacity.set(servers);
         self.open.capacity.set(part / REQUEST_RECORD_SIZE);
+        self.max_tenants.set(part / TENANT_RECORD_SIZE);
         for slots in [&self.bytes, &self.from_clients, &self.from_servers] {
             slots.capacity.set(part);
         }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -8,7 +8,7 @@
 mod quota;
 mod requests;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -22,12 +22,13 @@
 use crate::in_flight::InFlight;
 use crate::latency::ClassLatencies;
 use crate::queue::Queue;
-use crate::quota::{QuotaHistory, TenantState};
+use crate::quota::QuotaHistory;
 use crate::recent_requests::{RecentRequests, RequestFingerprint};
 use crate::rejection::RejectReason;
 use crate::retry::{self, RetryBudget};
 use crate::settings::Settings;
 use crate::slow_start::{SlowStartRules, WarmLoad};
+use crate::tenants::Tenants;
 
 /// Makes every decision of one gateway.
 ///
@@ -49,7 +50,7 @@
     fleet_limit: FleetLimit,
     warm_load: WarmLoad,
     latencies: ClassLatencies,
-    tenants: BTreeMap<Id, TenantState>,
+    tenants: Tenants,
     quota_history: QuotaHistory,
     counter_pacer: CounterPacer,
     in_flight: HashMap<Id, InFlight>,
@@ -80,7 +81,7 @@
             fleet_limit: FleetLimit::new(now),
             warm_load,
             latencies: ClassLatencies::new(&settings.classes),
-            tenants: BTreeMap::new(),
+            tenants: Tenants::default(),
             quota_history: QuotaHistory::new(&settings.plans),
             counter_pacer: CounterPacer::new(settings.gateway_count, now),
             in_flight: HashMap::new(),
@@ -100,6 +101,9 @@
         if self.is_repeated(&request, now) {
             return self.host.fail(&id, RejectReason::RepeatedId);
         }
+        if !self.admit_tenant(&request, now) {
+            return self.host.reject(&id, self.settings.max_retry_after, RejectReason::TooManyTenants);
+        }
         let deadline = now + request.time_left;
         let expires_at = initial_expiry(deadline, now);
         let within_quota = self.meter(&request, now);
@@ -117,6 +121,11 @@
         (!may_run_again).then(|| RequestFingerprint::new(&request.id))
     }
 
+    /// Sets how many tenants this gateway may remember.
+    pub fn set_max_tenants(&mut self, max: usize) {
+        self.tenants.set_max(max);
+    }
+
     /// Handles a request that another process of this gateway has received: it may have had an effect there.
     pub fn request_seen_elsewhere(&mut self, request: RequestFingerprint) {
         let now = self.host.now();
@@ -184,7 +193,7 @@
             let rules = self.slow_start_rules(now);
             let warm = self.servers.in_use().filter(|server| rules.is_warm(server.effective_start())).count();
             self.warm_load.measure(warm, now);
-            self.tenants.retain(|_, tenant| !tenant.is_stale(now));
+            self.tenants.drop_stale(now);
         }
         self.schedule_wakeup(now);
     }
@@ -201,7 +210,7 @@
     /// other process held before counts as used up.
     pub fn set_process_share(&mut self, share: f64) {
         let now = self.host.now();
-        for tenant in self.tenants.values_mut() {
+        for tenant in self.tenants.iter_mut() {
             tenant.refill(&self.settings.plans[tenant.plan()], self.process_share, now);
         }
         self.process_share = share;
--- a/crates/policy/src/engine/quota.rs
+++ b/crates/policy/src/engine/quota.rs
@@ -8,15 +8,28 @@
 use crate::quota::{JudgeContext, TenantState};
 
 impl<H: Host> Engine<H> {
-    /// Counts the units that a request offers. Returns whether the request is within its tenant's quota, or
+    /// Remembers the tenant of a request. Returns false if there are too many tenants to remember another one.
+    pub(super) fn admit_tenant(&mut self, request: &Request, now: Micros) -> bool {
+        if self.tenants.get(&request.tenant).is_some() {
+            return true;
+        }
+        let share_age = now - self.process_share_since;
+        if !self.tenants.make_room(&self.settings.plans, self.process_share, share_age, now) {
+            return false;
+        }
+        let plan = &self.settings.plans[request.plan];
+        let gateways = self.settings.gateway_count;
+        let state =
+            TenantState::new(request, plan, gateways, self.process_share, share_age, &mut self.rng, now);
+        self.tenants.insert(request.tenant.clone(), state);
+        true
+    }
+
+    /// Counts the units that a request offers, whose tenant is remembered. Returns whether the request is within its tenant's quota, or
     /// `None` if the decision waits for a reply of the shared counter.
     pub(super) fn meter(&mut self, request: &Request, now: Micros) -> Option<bool> {
         let plan = &self.settings.plans[request.plan];
-        let tenant = self.tenants.entry(request.tenant.clone()).or_insert_with(|| {
-            let age = now - self.process_share_since;
-            let gateways = self.settings.gateway_count;
-            TenantState::new(request, plan, gateways, self.process_share, age, &mut self.rng, now)
-        });
+        let tenant = self.tenants.get_mut(&request.tenant)?;
         tenant.begin(request, plan, self.process_share, now);
         self.update_concurrency_counter(&request.tenant, now);
         self.update_units_counter(&request.tenant, now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod settings;
 mod slow_start;
 mod subset;
+mod tenants;
 
 pub use engine::Engine;
 pub use event::{
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -33,6 +33,9 @@
 /// Time without requests after which a tenant's state is dropped: any burst has refilled by then.
 const TENANT_IDLE_TIMEOUT: Micros = 30 * SECOND;
 
+/// Time without requests before a tenant's state may be dropped to make room for another tenant.
+const MIN_IDLE_TIME: Micros = SECOND;
+
 /// An update of the shared counter.
 pub struct CounterUpdate {
     /// The counter's key.
@@ -106,6 +109,23 @@
         self.concurrency.is_idle() && self.bucket.refilled_at() + TENANT_IDLE_TIMEOUT <= now
     }
 
+    /// Whether dropping the tenant's state gives it no units: it has made no request for a second, and what it has left is not less
+    /// than what a new tenant would get.
+    pub fn is_as_new(&mut self, plan: &Plan, process_share: f64, share_age: Micros, now: Micros) -> bool {
+        let is_idle =
+            self.concurrency.is_idle() && self.awaiting.is_empty() && !self.units.is_update_pending();
+        if !is_idle || self.bucket.refilled_at() + MIN_IDLE_TIME > now {
+            return false;
+        }
+        let is_known = self.units.last_total_at().is_some();
+        let share = if is_known { 1.0 } else { 1.0 / self.gateway_spread };
+        let tokens = self.bucket.tokens_at(plan, share, now);
+        let new_tokens = plan.burst / self.gateway_spread;
+        let new_ceiling = CeilingShare::new(plan.ceiling, process_share, self.gateway_spread, share_age, now);
+        tokens >= new_tokens
+            && self.ceiling.covers(new_ceiling, plan.ceiling, process_share, self.gateway_spread, now)
+    }
+
     /// Refills the bucket and the share of the ceiling up to now.
     pub fn refill(&mut self, plan: &Plan, process_share: f64, now: Micros) {
         let is_known = self.units.last_total_at().is_some();
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -29,11 +29,16 @@
 
     /// Refills the bucket up to now with `share` of the plan's rate.
     pub fn refill(&mut self, plan: &Plan, share: f64, now: Micros) {
-        let elapsed = seconds(now - self.refilled_at);
-        self.tokens = (self.tokens + plan.rate * share * elapsed).min(plan.burst);
+        self.tokens = self.tokens_at(plan, share, now);
         self.refilled_at = now;
     }
 
+    /// The tokens that a refill with `share` of the plan's rate would leave now.
+    pub fn tokens_at(&self, plan: &Plan, share: f64, now: Micros) -> f64 {
+        let elapsed = seconds(now - self.refilled_at);
+        (self.tokens + plan.rate * share * elapsed).min(plan.burst)
+    }
+
     /// Takes units that were admitted here; negative units are returned.
     pub fn take(&mut self, units: f64) {
         self.tokens -= units;
--- a/crates/policy/src/quota/ceiling.rs
+++ b/crates/policy/src/quota/ceiling.rs
@@ -38,6 +38,23 @@
         self.refilled_at = now;
     }
 
+    /// Whether this share, refilled up to now, holds no less than `new`, the share of a tenant that is new at this gateway.
+    pub fn covers(
+        &mut self,
+        mut new: CeilingShare,
+        ceiling: Option<Ceiling>,
+        share: f64,
+        gateway_spread: f64,
+        now: Micros,
+    ) -> bool {
+        if ceiling.is_none() {
+            return true;
+        }
+        self.refill(ceiling, share, gateway_spread, now);
+        new.refill(ceiling, share, gateway_spread, now);
+        self.reserved_units == 0.0 && self.tokens >= new.tokens
+    }
+
     /// Whether the bucket holds `units`.
     pub fn has(&self, units: f64) -> bool {
         self.tokens >= units
--- a/crates/policy/src/rejection.rs
+++ b/crates/policy/src/rejection.rs
@@ -29,6 +29,8 @@
     AttemptsExhausted,
     /// A request with this id may have had an effect, and the class allows no second one.
     RepeatedId,
+    /// The gateway remembers as many tenants as it may, and this one is not among them.
+    TooManyTenants,
 }
 
 impl RejectReason {
@@ -46,6 +48,7 @@
             RejectReason::RetryBudgetExhausted => "retry-budget",
             RejectReason::AttemptsExhausted => "attempts-used",
             RejectReason::RepeatedId => "id-repeated",
+            RejectReason::TooManyTenants => "tenants-full",
         }
     }
 }
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -257,3 +257,25 @@
         "{forwarded_without_counter:?} forwarded in each second without a counter"
     );
 }
+
+/// Guards against tenants that are remembered without end, and against a bound that gives a tenant its quota anew.
+#[test]
+fn at_the_bound_a_tenant_makes_room_only_when_its_bucket_is_full_again() {
+    let plan = Plan { rate: 1.0, burst: 2.0, ..unlimited_plan() };
+    let settings = Settings { has_shared_counter: false, ..settings(Idempotency::Idempotent, plan) };
+    let mut fixture = Fixture::new(settings, 4);
+    fixture.gateway.set_max_tenants(2);
+    let forwarded = |fixture: &mut Fixture, tenant: &str| {
+        fixture.request(tenant, 60_000 * MS);
+        complete_forwarded(fixture, |_| 10 * MS) == 1
+    };
+    // The even share of the burst is one unit.
+    assert!(forwarded(&mut fixture, "a") && forwarded(&mut fixture, "b"));
+    assert!(!forwarded(&mut fixture, "c"), "both of the others have used their units");
+    let reasons: Vec<RejectReason> =
+        fixture.host.0.borrow().rejections.iter().map(|(_, reason)| *reason).collect();
+    assert_eq!(reasons, [RejectReason::TooManyTenants]);
+    assert!(!forwarded(&mut fixture, "a"), "its quota is as it was");
+    fixture.advance(4_000 * MS);
+    assert!(forwarded(&mut fixture, "c"), "the bucket of another is full again");
+}
