Replies that wait for their clients are bounded by a part of the memory

Cause: a value of up to 64 KiB was held whole until it was written, 32 for each connection, and no limit counted its bytes. Change: a request reserves what its connection's replies have needed lately, and then what its reply needs. A connection takes no further command while its replies fill its share of the part; one that holds nothing may have one request, until twice the part is used.

--- a/crates/cli/tests/sockets/memory.rs
+++ b/crates/cli/tests/sockets/memory.rs
@@ -1,6 +1,6 @@
 //! The memory of a gateway stays within its limit, whatever clients do.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::thread;
 use std::time::Duration;
 
@@ -52,3 +52,44 @@
     thread::sleep(Duration::from_millis(1_100));
     assert_eq!(gateway.client().request(&request_command("usual", "read", 1_400)), "usual");
 }
+
+/// Guards against replies that pile up without a bound while their clients read slowly.
+#[test]
+fn replies_to_clients_that_read_slowly_take_no_more_than_their_part_of_the_memory() {
+    let servers: Vec<Server> =
+        (0..90).map(|_| Server::start(Behavior::Large { length: 64_000, pause: 0 })).collect();
+    let gateway = Gateway::start_with(&servers.iter().collect::<Vec<_>>(), 1024, with_little_memory);
+    let mut slow: Vec<Client> = (0..45).map(|_| gateway.client()).collect();
+    for (number, client) in slow.iter().enumerate() {
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 4 * 1024).expect("set");
+        let (mut writer, stream) = (client.stream.try_clone().expect("a handle"), client.stream.try_clone());
+        let mut stream = stream.expect("a handle");
+        // Reads 20 KB a second.
+        thread::spawn(move || {
+            while stream.read(&mut [0; 2_000]).is_ok_and(|count| count > 0) {
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+        thread::spawn(move || {
+            // Their replies fill the kernel's buffers first.
+            for index in 0..250 {
+                if writer
+                    .write_all(&request_command(&format!("slow-{number}-{index}"), "read", 1_400))
+                    .is_err()
+                {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
+    }
+    let mut usual = gateway.client();
+    for index in 0..30 {
+        let answer = usual.request(&request_command(&format!("usual{index}"), "read", 1_400));
+        assert!(answer.len() == 64_000 || answer.starts_with("-BUSY"), "{} bytes", answer.len());
+        thread::sleep(Duration::from_millis(200));
+    }
+    let peak = peak_memory(&gateway);
+    slow.clear();
+    assert!(peak < MEMORY_MB, "{peak} MiB beside clients that read slowly");
+}
--- a/crates/gateway/src/dispatcher/requests.rs
+++ b/crates/gateway/src/dispatcher/requests.rs
@@ -8,6 +8,7 @@
 
 use crate::protocol::call::{Call, FinalAnswer};
 use crate::shared::{FinalReply, ReplyHandle};
+use crate::transport::connection::MAX_STREAMED_BYTES;
 use crate::upstream;
 
 /// A request that is not answered, or has attempts in flight.
@@ -105,5 +106,10 @@
 /// As [`send_answer`], for a reply that may be a stream.
 pub(super) fn send_final_reply(reply: ReplyHandle, final_reply: FinalReply) {
     let ReplyHandle { number, sender, reservations, .. } = reply;
+    match &final_reply {
+        FinalReply::Complete(FinalAnswer::Completed(value)) => reservations.reply.settle(value.len()),
+        FinalReply::Complete(_) => reservations.reply.settle_without_value(),
+        FinalReply::Streamed(_) => reservations.reply.settle(MAX_STREAMED_BYTES),
+    }
     let _ = sender.try_send((number, final_reply, reservations));
 }
--- a/crates/gateway/src/downstream/commands.rs
+++ b/crates/gateway/src/downstream/commands.rs
@@ -23,9 +23,9 @@
 const MAX_PROTOCOL_ERROR_DELAY: Duration = Duration::from_secs(1);
 
 impl ConnectionTask {
-    /// Handles the complete commands in the buffer until the pipeline is full.
+    /// Handles the complete commands in the buffer as long as another one can be taken.
     pub(super) async fn handle_commands(&mut self) -> Result<(), ConnectionEnd> {
-        while !self.pipeline.is_full() && !self.is_ending {
+        while self.can_take_command() && !self.is_ending {
             let scanned = match resp::command(self.connection.buffer.filled()) {
                 Ok(None) if self.connection.buffer.filled().len() < resp::MAX_MESSAGE_BYTES => return Ok(()),
                 Ok(None) => Err("the command is too long"),
@@ -105,7 +105,8 @@
         }
         let open = shared.limits.open.reserve(1).ok_or(EarlyRejection::NoRequestSlot)?;
         let bytes = shared.limits.bytes.reserve(call.memory_bytes()).ok_or(EarlyRejection::NoRequestSlot)?;
-        Ok([open, bytes])
+        let reply = self.reply_share.reserve().ok_or(EarlyRejection::NoMemory)?;
+        Ok(Reservations { open, bytes, reply })
     }
 
     async fn handle_invalid(&mut self, why: &str) -> Result<(), ConnectionEnd> {
--- a/crates/gateway/src/downstream/connection_task.rs
+++ b/crates/gateway/src/downstream/connection_task.rs
@@ -16,6 +16,7 @@
 use crate::shared::{Event, FinalReply, Reservations, Shared};
 use crate::transport::connection::{with_deadline, Connection};
 use crate::transport::ending::ConnectionEnd;
+use crate::transport::reply_memory::ReplyShare;
 
 /// How long a client may pause in the middle of a command, or before its first command. Danger: clients that send nothing, or half
 /// a command, would keep the slots from others.
@@ -53,6 +54,8 @@
     /// How long the bytes that were read last had waited in the kernel before this process read them.
     pub(super) input_delay: Duration,
     pub(super) pipeline: Pipeline,
+    /// Memory for replies that are not written yet.
+    pub(super) reply_share: ReplyShare,
     /// The sender that the dispatcher uses for final replies.
     pub(super) reply_sender: Sender<NumberedReply>,
     replies: Receiver<NumberedReply>,
@@ -78,6 +81,7 @@
     pub(super) fn new(connection: Connection, context: Context, number: u64, is_served: bool) -> Self {
         let (reply_sender, replies) = async_channel::bounded(MAX_PIPELINED);
         let (evict, evicted) = async_channel::bounded(1);
+        let reply_share = ReplyShare::new(&context.shared.limits.replies);
         ConnectionTask {
             connection,
             context,
@@ -86,6 +90,7 @@
             accepted_at: Instant::now(),
             input_delay: Duration::ZERO,
             pipeline: Pipeline::default(),
+            reply_share,
             reply_sender,
             replies,
             evict,
@@ -132,16 +137,16 @@
     async fn serve_next(&mut self) -> Result<(), ConnectionEnd> {
         self.check_backlog()?;
         self.handle_commands().await?;
-        self.has_backlog |= self.pipeline.is_full();
+        self.has_backlog |= !self.can_take_command();
         // Bytes that are still in the buffer wait for space in the pipeline or for the rest of their command, not for this
         // process.
         self.input_delay = Duration::ZERO;
         let buffered = self.connection.buffer.filled().len();
-        let was_full = self.pipeline.is_full();
+        let was_full = !self.can_take_command();
         self.write_replies().await?;
         // Danger: the buffer may hold a complete command, and the client may send nothing more. The command was read while the
         // replies were written, or it was read earlier and the pipeline has space for it only now.
-        let has_capacity_again = was_full && !self.pipeline.is_full();
+        let has_capacity_again = was_full && self.can_take_command();
         if has_capacity_again || self.connection.buffer.filled().len() > buffered {
             return Ok(());
         }
@@ -157,6 +162,11 @@
         self.handle_input(input).await
     }
 
+    /// Whether another command is taken now. If not, the client has to read replies first.
+    pub(super) fn can_take_command(&self) -> bool {
+        !self.pipeline.is_full() && self.reply_share.has_room()
+    }
+
     /// Fails if the client has closed the connection behind commands that wait to be read. Danger: reading would show that only
     /// after they have all been forwarded.
     fn check_backlog(&mut self) -> Result<(), ConnectionEnd> {
@@ -217,7 +227,7 @@
     }
 
     async fn next_input(&mut self) -> Input {
-        let is_reading = !self.pipeline.is_full() && !self.is_ending;
+        let is_reading = self.can_take_command() && !self.is_ending;
         let deadline = self.command_deadline();
         if self.pipeline.is_empty() {
             return self.next_input_while_idle(is_reading, deadline).await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::protocol::reply::ServerReply;
 use crate::transport::clock::Clock;
 use crate::transport::limits::{Limits, Reservation};
+use crate::transport::reply_memory::ReplyReservation;
 use crate::{counter, hot_restart};
 
 /// Capacity of a mailbox for events, which has many senders. A sender waits while the mailbox is full.
@@ -232,8 +233,15 @@
     End,
 }
 
-/// The reservations of a request in flight: one request, and the request's bytes.
-pub type Reservations = [Reservation; 2];
+/// What a request in flight reserves until its reply is written.
+pub struct Reservations {
+    /// One of the requests that may be open.
+    pub open: Reservation,
+    /// The request's bytes.
+    pub bytes: Reservation,
+    /// The bytes of its reply.
+    pub reply: ReplyReservation,
+}
 
 /// How one attempt ended.
 pub struct CompletedAttempt {
--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -25,6 +25,9 @@
 /// in between. All connections to servers together then use less than a tenth of the smallest memory that can be configured.
 const CHUNK_SIZE: usize = 16 * 1024;
 
+/// Bytes of a long value that this process holds at most, while it forwards the value.
+pub const MAX_STREAMED_BYTES: usize = 3 * CHUNK_SIZE;
+
 /// Bytes that are read ahead while a reply is awaited, if memory allows it. The end of the connection can't be detected behind
 /// unread bytes that the peer's kernel still holds.
 pub const MAX_READ_AHEAD: usize = 1024 * 1024;
--- a/crates/gateway/src/transport/limits.rs
+++ b/crates/gateway/src/transport/limits.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use super::reply_memory::ReplyMemory;
 use crate::protocol::resp::MAX_MESSAGE_BYTES;
 
 /// Descriptors that are used neither for clients nor for servers: three standard streams, three of the reactor, two for signals,
@@ -119,6 +120,8 @@
     pub from_clients: Slots,
     /// Bytes of incomplete messages from servers.
     pub from_servers: Slots,
+    /// Bytes of replies that wait for their clients.
+    pub replies: ReplyMemory,
     /// How many tenants the decision module may remember.
     pub max_tenants: Rc<Cell<usize>>,
     /// Descriptors for optional features that are configured, in addition to [`OWN_DESCRIPTORS`].
@@ -138,6 +141,7 @@
             bytes: Slots::new(0),
             from_clients: Slots::new(0),
             from_servers: Slots::new(0),
+            replies: ReplyMemory::default(),
             max_tenants: Rc::default(),
             reserved,
             memory_mb,
@@ -159,6 +163,7 @@
         self.rejected.capacity.set(rejected);
         self.servers.capacity.set(servers);
         self.open.capacity.set(part / REQUEST_RECORD_SIZE);
+        self.replies.set_capacity(part);
         self.max_tenants.set(part / TENANT_RECORD_SIZE);
         for slots in [&self.bytes, &self.from_clients, &self.from_servers] {
             slots.capacity.set(part);
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -7,6 +7,7 @@
 pub mod ending;
 pub mod limits;
 pub mod loop_timer;
+pub mod reply_memory;
 pub mod stream;
 pub mod syscall;
 pub mod wall_clock;
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -19,9 +19,10 @@
 use fernscale_gateway::protocol::call::{self, Command, FinalAnswer};
 use fernscale_gateway::protocol::catalog::EndpointUpdate;
 use fernscale_gateway::protocol::resp;
-use fernscale_gateway::shared::{Event, FinalReply, ReceivedRequest, ReplyHandle, Shared};
+use fernscale_gateway::shared::{Event, FinalReply, ReceivedRequest, ReplyHandle, Reservations, Shared};
 use fernscale_gateway::transport::buffer::Buffer;
 use fernscale_gateway::transport::connection::Connection;
+use fernscale_gateway::transport::reply_memory::ReplyShare;
 use fernscale_policy::settings::PlatformSettings;
 use fernscale_policy::{Endpoint, EndpointState, Id, Idempotency, Plan, RequestClass, Settings};
 use futures_lite::future;
@@ -258,8 +259,10 @@
     let words = [&b"CALL.GET"[..], b"00000000b4d65521", id.as_bytes(), list.as_bytes()];
     let Ok(Command::Call(call)) = call::command(&words, &shared.platform) else { panic!("a call") };
     let (sender, replies) = async_channel::bounded(1);
-    let reservations =
+    let [open, bytes] =
         [&shared.limits.open, &shared.limits.bytes].map(|slots| slots.reserve(1).expect("a slot"));
+    let reply = ReplyShare::new(&shared.limits.replies).reserve().expect("memory");
+    let reservations = Reservations { open, bytes, reply };
     let reply = ReplyHandle { ticket, number: 0, sender, reservations };
     let received = ReceivedRequest { call, reply, received_at: Instant::now() };
     events.send(Event::RequestReceived(received)).await.expect("the dispatcher runs");
