An attempt does not reach a new process of the server that it was chosen for

Seen: a server's process ends while attempts wait for their connections, a new one comes up at its address and discovery tells of it; the attempts, chosen for the warm process, run at the cold one. Cause: the last look before the first byte asked whether the server's name drains, is cordoned or has another address, not whether it is still the process that was chosen. Evidence: on three attempts that dial a listener with a full queue, all run at the new process, 0.7 s after its start was known. Change: an attempt carries the listed start of the process that it was chosen for; if another one is listed when its connection is up, it does not begin and counts as never sent.

--- a/crates/cli/tests/sockets/key_windows.rs
+++ b/crates/cli/tests/sockets/key_windows.rs
@@ -1,14 +1,14 @@
 //! Retries of keyed requests: none reaches a server after the servers may have forgotten the key.
 
-use std::io::{ErrorKind, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use fernscale_gateway::protocol::resp;
 
+use super::late_listener::LateListener;
 use super::process::*;
 
 /// How long the servers remember a key, counted from the first call with it.
@@ -19,50 +19,6 @@
 /// connection after a second, so the connection of a retry comes up 1.55 s after the first call.
 const REOPEN_AFTER: Duration = Duration::from_millis(1_200);
 
-/// A server whose queue of new connections can be kept full.
-struct LateListener {
-    listener: TcpListener,
-    address: SocketAddr,
-    is_late: AtomicBool,
-}
-
-impl LateListener {
-    fn start() -> Self {
-        let (listener, address) = bind_listener();
-        listener.set_nonblocking(true).expect("set");
-        LateListener { listener, address, is_late: AtomicBool::new(false) }
-    }
-
-    /// From now on new connections don't come up, until `reopen`. Returns the connection that fills the queue.
-    fn fill_queue(&self) -> TcpStream {
-        self.is_late.store(true, Ordering::SeqCst);
-        // The accepting thread checks the flag before it accepts.
-        thread::sleep(Duration::from_millis(20));
-        rustix::net::listen(&self.listener, 0).expect("listening");
-        TcpStream::connect(self.address).expect("the only place in the queue")
-    }
-
-    fn reopen(&self) {
-        rustix::net::listen(&self.listener, 128).expect("listening");
-        self.is_late.store(false, Ordering::SeqCst);
-    }
-
-    fn accept(&self) -> TcpStream {
-        loop {
-            if !self.is_late.load(Ordering::SeqCst) {
-                match self.listener.accept() {
-                    Ok((stream, _)) => {
-                        stream.set_nonblocking(false).expect("set");
-                        return stream;
-                    }
-                    Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock),
-                }
-            }
-            thread::sleep(Duration::from_millis(1));
-        }
-    }
-}
-
 /// When each call has come, to any of the servers.
 type Calls = Arc<Mutex<Vec<Instant>>>;
 
--- a/crates/gateway/src/discovery/start_times.rs
+++ b/crates/gateway/src/discovery/start_times.rs
@@ -59,6 +59,11 @@
         self.has_read_list |= !update.servers.is_empty();
     }
 
+    /// The start that discovery lists for a server, which tells its processes apart; `None` if it lists none.
+    pub fn listed(&self, server: &Id) -> Option<Micros> {
+        self.starts.get(server).map(|start| start.listed)
+    }
+
     /// When the server started by the gateway's clock; `None` if its start is not listed.
     fn started_at(
         &mut self,
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -99,7 +99,8 @@
             "server" => &*server, "limit_us" => limit);
         if let Some(mailbox) = mailbox.filter(|_| time_left > 0) {
             let call = request.call.clone();
-            let attempt = AttemptOrder { call, attempt, bounds };
+            let listed_start = self.shared.start_times.borrow().listed(&server);
+            let attempt = AttemptOrder { call, attempt, bounds, listed_start };
             if mailbox.send(upstream::Order::Attempt(attempt)).await.is_ok() {
                 return;
             }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -13,7 +13,6 @@
 use super::pool::Checkout;
 use super::{AttemptBounds, AttemptOrder, Upstream};
 use crate::outcome::AttemptFailure;
-use crate::protocol::call::Call;
 use crate::protocol::reply::{self, ReceiveStage, ReceivedReply, ServerReply};
 use crate::protocol::resp::{self, Reply};
 use crate::protocol::Scanned;
@@ -43,11 +42,11 @@
         self: &Rc<Self>,
         order: &AttemptOrder,
     ) -> Result<AttemptReply, AttemptFailure> {
-        let AttemptOrder { call, attempt, bounds } = order;
+        let AttemptOrder { call, attempt, bounds, .. } = order;
         // The server is told the time that is left after the order has waited and the connection has been established.
         let command = || call.command(micros(bounds.announced_time()));
         let scan = |bytes: &[u8], stage: ReceiveStage| reply::scan_reply(bytes, stage, self.load_fields());
-        let received = self.exchange(command, bounds, Some(call), scan).await?;
+        let received = self.exchange(command, bounds, Some(order), scan).await?;
         let CompletedExchange { reply, mut connection, read_delay } =
             self.skip_duplicates(received, bounds, &call.request.id).await?;
         let (reply, load) = match reply {
@@ -91,13 +90,13 @@
         self.connect_timeout()
     }
 
-    /// Writes a command on a connection and reads its reply. `call` is the client's call that the command forwards; none for a
+    /// Writes a command on a connection and reads its reply. `order` is the attempt that the command belongs to; none for a
     /// health check. `scan` parses the received bytes, and is told whether more of them are waited for.
     async fn exchange<T>(
         &self,
         command: impl FnOnce() -> Vec<u8>,
         bounds: &AttemptBounds,
-        call: Option<&Call>,
+        order: Option<&AttemptOrder>,
         scan: impl Fn(&[u8], ReceiveStage) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
         let began_at = Instant::now();
@@ -106,13 +105,13 @@
         let Checkout { connection, idle_for } = checkout.await.map_err(AttemptFailure::unsent)?;
         let connect_delay = if idle_for.is_none() { connection.read_delay(began_at) } else { Duration::ZERO };
         // There must be no await between this check and the first write.
-        if let Err(how) = self.check_may_begin(&connection, bounds, call) {
+        if let Err(how) = self.check_may_begin(&connection, bounds, order) {
             if matches!(how, ConnectionEnd::NotNeeded | ConnectionEnd::KeyExpired) {
                 self.pool.release(connection);
             }
             return Err(AttemptFailure::unsent(how));
         }
-        let end = self.write_and_receive(connection, &command(), bounds, call, scan).await;
+        let end = self.write_and_receive(connection, &command(), bounds, order, scan).await;
         self.pool.adjust_idle_limit(idle_for, &end);
         end.map(|completed| CompletedExchange {
             read_delay: connect_delay + completed.read_delay,
@@ -126,7 +125,7 @@
         &self,
         connection: &Connection,
         bounds: &AttemptBounds,
-        call: Option<&Call>,
+        order: Option<&AttemptOrder>,
     ) -> Result<(), ConnectionEnd> {
         // The time has passed while the connection was established, or because this process was suspended.
         let (send_deadline, expiry) = bounds.send_deadline(ConnectionEnd::NotNeeded);
@@ -134,7 +133,7 @@
             return Err(expiry);
         }
         // The client has disconnected. Not beginning an attempt is no cancellation, so it is always allowed.
-        if call.is_some_and(|call| call.client_gone.get()) {
+        if order.is_some_and(|order| order.call.client_gone.get()) {
             return Err(ConnectionEnd::NotNeeded);
         }
         // The server was cordoned, drains, was removed or has another address.
@@ -144,6 +143,11 @@
         if self.shared.draining.borrow().contains(&self.server) || !self.pool.is_connected(connection) {
             return Err(ConnectionEnd::EndpointChanged);
         }
+        // Another process has come up under the server's name. The attempt was chosen for what was known of the process before.
+        let listed_start = || self.shared.start_times.borrow().listed(&self.server);
+        if order.is_some_and(|order| order.listed_start != listed_start()) {
+            return Err(ConnectionEnd::EndpointChanged);
+        }
         // The endpoint list has expired, for instance because this process was suspended.
         let fresh_until = self.shared.endpoints_fresh_until.get();
         if fresh_until < Micros::MAX && boottime() >= fresh_until {
@@ -158,7 +162,7 @@
         mut connection: Connection,
         command: &[u8],
         bounds: &AttemptBounds,
-        call: Option<&Call>,
+        order: Option<&AttemptOrder>,
         scan: impl Fn(&[u8], ReceiveStage) -> Scanned<T>,
     ) -> Result<CompletedExchange<T>, AttemptFailure> {
         let written_at = Instant::now();
@@ -166,7 +170,7 @@
         with_deadline(send_deadline, expiry, connection.write(command))
             .await
             .map_err(AttemptFailure::unsent)?;
-        if call.is_some() {
+        if order.is_some() {
             self.shared.metrics.attempt_forwarded();
             if self.expects_equal_value(&connection) {
                 write_fence(&mut connection, bounds.deadline).await;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -17,7 +17,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use fernscale_policy::Id;
+use fernscale_policy::{Id, Micros};
 use futures_lite::{future, StreamExt};
 
 pub use self::bounds::AttemptBounds;
@@ -53,6 +53,8 @@
     pub attempt: usize,
     /// Until when the attempt may go on.
     pub bounds: AttemptBounds,
+    /// The listed start of the server's process that the attempt was meant for.
+    pub listed_start: Option<Micros>,
 }
 
 /// A request's id, and the number of the attempt.
--- a/crates/gateway/tests/actors.rs
+++ b/crates/gateway/tests/actors.rs
@@ -28,7 +28,7 @@
 
 fn attempt_order(call: Rc<Call>, attempt: usize, limit: Micros) -> Order {
     let bounds = AttemptBounds::until(Instant::now() + Duration::from_micros(limit));
-    Order::Attempt(AttemptOrder { call, attempt, bounds })
+    Order::Attempt(AttemptOrder { call, attempt, bounds, listed_start: None })
 }
 
 fn shared() -> Rc<Shared> {
--- a/crates/gateway/tests/duplicate_replies.rs
+++ b/crates/gateway/tests/duplicate_replies.rs
@@ -103,7 +103,7 @@
             Timer::after(PAUSE).await;
             let call = new_call(&shared, &format!("t{number}"));
             let bounds = AttemptBounds::until(Instant::now() + LIMIT);
-            let order = AttemptOrder { call, attempt: 0, bounds };
+            let order = AttemptOrder { call, attempt: 0, bounds, listed_start: None };
             orders.send(Order::Attempt(order)).await.expect("the actor runs");
             ends.push(end_of_call(&ended).await);
         }
