A watch that breaks is not sent again to whoever listens at the address

Seen: discovery's process ends and another comes up at its address, whose versions are lower; where lists are asked for, a server that it reports as draining was used for 8.4 to 12 s more. Cause: a request on a used connection that broke was sent again, a watch too. At the new process it waited for a version above the old one's, for as long as a watch lasts. Change: only a poll is sent again. A failed watch is followed by a poll, as any is, which shows the lower version and brings the whole list.

--- a/crates/gateway/src/discovery/client.rs
+++ b/crates/gateway/src/discovery/client.rs
@@ -142,8 +142,9 @@
         let deadline = Instant::now() + timeout;
         let is_reused = self.connection.is_some();
         let mut response = self.exchange(&request, deadline).await;
-        if is_reused && response.is_err() && Instant::now() < deadline {
-            // The idle connection may have been closed before the request arrived; requests are idempotent.
+        if is_reused && watch.is_zero() && response.is_err() && Instant::now() < deadline {
+            // The idle connection may have been closed before the request arrived; polls are idempotent. A watch is not sent again:
+            // another process may listen at the address, whose versions are lower, and which would wait for one that never comes.
             response = self.exchange(&request, deadline).await;
         }
         let response = response.map_err(RequestError::Connection)?;
