--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -30,7 +30,7 @@
 
 /// Bytes that are read ahead while a reply is awaited, if memory allows it. The end of the connection can't be detected behind
 /// unread bytes that the peer's kernel still holds.
-pub const MAX_READ_AHEAD: usize = 1024 * 1024;
+pub const MAX_READ_AHEAD: usize = 4 * 1024 * 1024;
 
 /// How often a connection is checked for its end once its peer has sent [`MAX_READ_AHEAD`] bytes.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(40);
