Connections share the memory of replies only once half of it is in use

Cause: a share for each connection held back pipelines with long replies although there was memory for them; commands that wait unread lose time that their clients count. Change: the share applies when half of the part is in use.

--- a/crates/gateway/src/transport/connection.rs
+++ b/crates/gateway/src/transport/connection.rs
@@ -126,8 +126,8 @@
         read(&self.stream, &mut self.buffer).await
     }
 
-    /// Whether the peer has closed the connection for writing, or reset it, as far as the kernel has been told: bytes that it sent
-    /// before may be unread.
+    /// Whether the peer has closed the connection for writing, or reset it, as far as the kernel knows: bytes that it sent before may be
+    /// unread.
     pub fn is_closed_by_peer(&self) -> bool {
         is_closed_by_peer(&self.stream)
     }
--- a/crates/gateway/src/transport/reply_memory.rs
+++ b/crates/gateway/src/transport/reply_memory.rs
@@ -1,8 +1,8 @@
 //! The memory of replies that wait for their clients to read them.
 //!
 //! How long a reply is, is known only when it comes, and it can't be refused any more then. So a request reserves what its
-//! connection's replies have needed lately, and a connection takes no further request while its replies fill its share: its client
-//! has to read first.
+//! connection's replies have needed lately. Once half of the memory is in use, a connection takes no further request while its
+//! replies fill its share: its client has to read first.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -62,12 +62,14 @@
         ReplyShare { memory: memory.clone(), holding: Rc::default() }
     }
 
-    /// Whether the replies of this connection leave room for another request. It always has room when nothing is in flight.
+    /// Whether the replies of this connection leave room for another request. It has room when nothing is in flight on it, and as
+    /// long as the memory is half free; then it has its share.
     pub fn has_room(&self) -> bool {
-        let Pool { capacity, holders, .. } = &*self.memory.0;
+        let Pool { used, capacity, holders, .. } = &*self.memory.0;
+        let (held, expected) = (self.holding.held.get(), self.expected());
+        let is_half_free = 2 * (used.get() + expected) <= capacity.get();
         let share = capacity.get() / (holders.get() + 1);
-        let held = self.holding.held.get();
-        held == 0 || held + self.expected() <= share
+        held == 0 || is_half_free || held + expected <= share
     }
 
     /// Reserves memory for the reply to a request. `None` if there is none for a connection that holds nothing.
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -91,7 +91,7 @@
     }
 
     /// Writes a command on a connection and reads its reply. `order` is the attempt that the command belongs to; none for a
-    /// health check. `scan` parses the received bytes, and is told whether more of them are waited for.
+    /// health check. `scan` parses the received bytes, and knows whether more of them are waited for.
     async fn exchange<T>(
         &self,
         command: impl FnOnce() -> Vec<u8>,
