A server that pauses in its reply is given up while there is time for another attempt

Cause: a quarter of the time was kept for another attempt, which cuts off a reply that pauses for a second where its client waits 1.25 s, and may be less than an attempt usually takes.

--- a/crates/policy/src/engine/requests.rs
+++ b/crates/policy/src/engine/requests.rs
@@ -106,7 +106,9 @@
         let first_byte_limit = first_byte_limit.filter(|_| self.retry_budget.is_available());
         let binding = KeyBinding::from_attempts(rules, &in_flight.attempts, &self.servers);
         let send_before = binding.map(|binding| binding.send_before());
-        let stall_limit = retry::stall_limit(in_flight, rules, self.settings.max_attempts, time_limit, now);
+        let usual_latency = self.latencies.usual(class);
+        let max_attempts = self.settings.max_attempts;
+        let stall_limit = retry::stall_limit(in_flight, rules, usual_latency, max_attempts, time_limit, now);
         let is_first = in_flight.attempts.is_empty();
         if is_first {
             self.retry_budget.earn();
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -14,7 +14,10 @@
 const MAX_SAVED_RETRIES: f64 = 10.0;
 
 /// Divisor of the time of an attempt for the part that is kept for another one if the server stalls.
-const STALL_DIVISOR: Micros = 4;
+const STALL_DIVISOR: Micros = 6;
+
+/// What is kept beyond the usual latency.
+const STALL_MARGIN: Micros = 3 * DEADLINE_MARGIN;
 
 /// Limits the retries of this gateway to a share of its first attempts. Without the limit, the retries of a
 /// fleet in trouble multiply its load.
@@ -78,11 +81,13 @@
     class.idempotency == Idempotency::Idempotent
 }
 
-/// After what time an attempt that is made now is given up if its server pauses in the middle of the reply: when a quarter of
-/// the time in which another attempt can be made is left. `None` if no other attempt may be made.
+/// After what time an attempt that is made now is given up if its server pauses in the middle of the reply: when just the time
+/// for another attempt is left, which takes the usual latency, or a sixth of the time in which it can be made if that is longer.
+/// `None` if no other attempt may be made.
 pub fn stall_limit(
     in_flight: &InFlight,
     class: &RequestClass,
+    usual_latency: f64,
     max_attempts: u32,
     time_limit: Micros,
     now: Micros,
@@ -97,7 +102,8 @@
         Idempotency::NonIdempotent => return None,
     };
     let is_last = in_flight.attempts.len() + 1 >= max_attempts as usize;
-    (!is_last).then_some(retry_time / STALL_DIVISOR * (STALL_DIVISOR - 1))
+    let kept = (usual_latency as Micros + STALL_MARGIN).max(retry_time / STALL_DIVISOR);
+    (!is_last).then_some(retry_time.saturating_sub(kept))
 }
 
 /// Whether the client may safely send the request again after this gateway has given up.
