The log of an ended process is read once, and what waits to be reported is bounded

Cause: while $TMPDIR can't be written the files of an ended process stay, and each update read its log of requests again and kept all of it until the next request that must not run twice. Change: a process that has ended is read to the end once; 65,536 requests at most wait to be reported.

--- a/crates/gateway/src/hot_restart/seen_requests.rs
+++ b/crates/gateway/src/hot_restart/seen_requests.rs
@@ -1,6 +1,6 @@
 //! Tells the other processes of this gateway which requests have come here, and learns which have come there.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use fernscale_hot_restart::directory::{Error, RecordDirectory};
 use fernscale_hot_restart::request_log::{RequestLogReader, RequestLogWriter};
@@ -10,6 +10,9 @@
 /// Maximum number of requests that wait to be written while the directory is unavailable.
 const MAX_UNWRITTEN: usize = 4_096;
 
+/// Maximum number of requests that were read and wait for the next one to be reported with: as many as a log holds.
+const MAX_UNREPORTED: usize = 65_536;
+
 /// The logs of requests of all processes.
 #[derive(Default)]
 pub(super) struct SeenRequests {
@@ -17,8 +20,10 @@
     /// Requests that could not be written yet, oldest first.
     unwritten: Vec<RequestFingerprint>,
     readers: HashMap<Generation, RequestLogReader>,
-    /// Requests that were read and are not reported yet.
-    unreported: Vec<RequestFingerprint>,
+    /// Processes that have ended and whose logs were read to the end. Their files may stay while the directory is unavailable.
+    ended: HashSet<Generation>,
+    /// Requests that were read and are not reported yet, oldest first.
+    unreported: VecDeque<RequestFingerprint>,
 }
 
 impl SeenRequests {
@@ -59,7 +64,7 @@
     pub(super) fn follow(&mut self, records: &RecordDirectory, others: &[OtherProcess]) -> Vec<Error> {
         let mut errors = Vec::new();
         for other in others {
-            if self.readers.contains_key(&other.generation) {
+            if self.readers.contains_key(&other.generation) || self.ended.contains(&other.generation) {
                 continue;
             }
             match records.open_request_log(other.generation) {
@@ -69,9 +74,11 @@
             }
         }
         self.read(records, &mut errors);
-        self.readers.retain(|generation, _| {
-            others.iter().any(|other| other.generation == *generation && other.is_alive)
-        });
+        let is_alive =
+            |generation| others.iter().any(|other| other.generation == generation && other.is_alive);
+        let ended = self.readers.extract_if(|generation, _| !is_alive(*generation));
+        self.ended.extend(ended.map(|(generation, _)| generation));
+        self.ended.retain(|generation| others.iter().any(|other| other.generation == *generation));
         errors
     }
 
@@ -79,7 +86,7 @@
     pub(super) fn take_new(&mut self, records: &RecordDirectory) -> (Vec<RequestFingerprint>, Vec<Error>) {
         let mut errors = Vec::new();
         self.read(records, &mut errors);
-        (std::mem::take(&mut self.unreported), errors)
+        (std::mem::take(&mut self.unreported).into(), errors)
     }
 
     fn read(&mut self, records: &RecordDirectory, errors: &mut Vec<Error>) {
@@ -89,5 +96,7 @@
                 Err(why) => errors.push(records.request_log_error(why)),
             }
         }
+        let surplus = self.unreported.len().saturating_sub(MAX_UNREPORTED);
+        self.unreported.drain(..surplus);
     }
 }
