Test of inherited descriptors: the one that is not open is closed for certain

Cause: the test names descriptor 9 as one that is not open. The listeners of tests that run at the same time are inheritable, so a process started at that moment may have one of them as descriptor 9; it then serves instead of refusing, and the test waits for ever. Seen once, when the tests of upgrades ran without the others: the gateway of this test had descriptor 9 as a listening socket of another one. Change: the script closes descriptor 9. What is asserted is as it was.

--- a/crates/cli/tests/sockets/upgrade.rs
+++ b/crates/cli/tests/sockets/upgrade.rs
@@ -225,7 +225,8 @@
     let (listener, address) = bind_listener();
     let stream = std::net::TcpStream::connect(address).expect("connected");
     for (number, descriptor) in [("4", stream.as_raw_fd()), ("9", listener.as_raw_fd()), ("x", 0), ("1", 0)] {
-        let script = format!("exec {} 4<&{descriptor}", env!("CARGO_BIN_EXE_fernscale"));
+        // Descriptor 9 is closed: otherwise it may be a listener of another test, which starts a process at the same moment.
+        let script = format!("exec {} 4<&{descriptor} 9<&-", env!("CARGO_BIN_EXE_fernscale"));
         rustix::io::fcntl_setfd(&stream, rustix::io::FdFlags::empty()).expect("inherited");
         rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty()).expect("inherited");
         let output = Command::new("bash")
